--- /dev/null
+++ b/crates/clients/src/http.rs
@@ -0,0 +1,73 @@
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::time::Duration;
+
+/// Why an exchange gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    /// No answer within the time limit. The request may have been carried out, or may be later.
+    #[error("no answer in time")]
+    Timeout,
+    /// The connection failed. The request may have been carried out.
+    #[error("connection failed: {0}")]
+    Connection(String),
+    /// The request could not be built.
+    #[error("bad request: {0}")]
+    Request(String),
+}
+
+/// A small HTTP client for one address, with connections that stay open.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    base: String,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// A client for `address` (`host:port`).
+    pub fn new(address: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_max_idle_per_host(8)
+            .build(connector);
+        Self { base: format!("http://{address}"), client }
+    }
+
+    /// One exchange: the status and the body.
+    pub async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), HttpError> {
+        let mut request = Request::builder().method(method).uri(format!("{}{path}", self.base));
+        if body.is_some() {
+            request = request.header("content-type", "application/json");
+        }
+        let request = request
+            .body(Full::new(Bytes::from(body.unwrap_or_default())))
+            .map_err(|e| HttpError::Request(e.to_string()))?;
+        let work = async {
+            let response = self
+                .client
+                .request(request)
+                .await
+                .map_err(|e| HttpError::Connection(e.to_string()))?;
+            let status = response.status();
+            let body = response
+                .into_body()
+                .collect()
+                .await
+                .map_err(|e| HttpError::Connection(e.to_string()))?;
+            Ok((status, body.to_bytes()))
+        };
+        tokio::time::timeout(limit, work).await.map_err(|_| HttpError::Timeout)?
+    }
+}
--- /dev/null
+++ b/crates/clients/src/lib.rs
@@ -0,0 +1,15 @@
+//! Clients of everything that a controller talks to over HTTP: the state service, the cloud and,
+//! for users, the API itself. Every call has a time limit, and an answer that did not come is told
+//! apart from a refusal, because the request may still be carried out.
+
+mod api;
+mod budget;
+mod cloud;
+mod http;
+mod store;
+
+pub use api::{ApiClient, ApiError};
+pub use budget::Budget;
+pub use cloud::{CloudClient, CloudError, RentOutcome};
+pub use http::{HttpClient, HttpError};
+pub use store::{CommitOutcome, StoreClient, StoreError};
--- /dev/null
+++ b/crates/clients/src/store.rs
@@ -0,0 +1,210 @@
+use crate::{Budget, HttpClient, HttpError};
+use hookway_constants as constants;
+use hookway_wire::{
+    CommitAnswer, Grant, GrantRequest, KeyPage, KeyValue, Transaction, WatchAnswer,
+};
+use hyper::{Method, StatusCode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Everything but letters, digits and what may stand in a key unescaped.
+const ESCAPED: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'/').remove(b'-').remove(b'_').remove(b'.').remove(b'~');
+
+/// Why the state service did not do what it was asked.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// Not carried out: an outage, or this node is being refused.
+    #[error("the state service is not available")]
+    Unavailable,
+    /// Not carried out: above a rate limit.
+    #[error("the state service is asked too often")]
+    TooMany,
+    /// Nothing is known: the request may have been carried out, or may be later.
+    #[error("no answer from the state service: {0}")]
+    Unknown(HttpError),
+    /// The lease does not exist any more.
+    #[error("the lease has ended")]
+    NoLease,
+    /// The watch asked for changes that are no longer kept.
+    #[error("the revision is too old")]
+    TooOld,
+    /// An answer that makes no sense.
+    #[error("unexpected answer {0}: {1}")]
+    Unexpected(u16, String),
+}
+
+/// What became of a transaction that was answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CommitOutcome {
+    /// Applied, at this revision.
+    Applied(u64),
+    /// Not applied: these conditions failed.
+    Refused(Vec<String>),
+}
+
+/// A client of the state service that stays within its share of the request rate.
+#[derive(Debug, Clone)]
+pub struct StoreClient {
+    http: HttpClient,
+    budget: Arc<Budget>,
+}
+
+impl StoreClient {
+    /// A client for `address` that makes at most `rate` requests a second.
+    pub fn new(address: &str, rate: f64) -> Self {
+        Self { http: HttpClient::new(address), budget: Arc::new(Budget::new(rate)) }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit_ms: u64,
+    ) -> Result<(StatusCode, bytes::Bytes), StoreError> {
+        let limit = Duration::from_millis(limit_ms);
+        let (status, body) =
+            self.http.exchange(method, path, body, limit).await.map_err(StoreError::Unknown)?;
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::TooMany),
+            StatusCode::GONE => Err(StoreError::TooOld),
+            _ => Ok((status, body)),
+        }
+    }
+
+    fn read<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, StoreError> {
+        serde_json::from_slice(body).map_err(|e| {
+            StoreError::Unexpected(
+                status.as_u16(),
+                format!("{e}: {}", String::from_utf8_lossy(&body[..body.len().min(200)])),
+            )
+        })
+    }
+
+    fn odd(status: StatusCode, body: &[u8]) -> StoreError {
+        let text = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
+        StoreError::Unexpected(status.as_u16(), text)
+    }
+
+    /// Reads a key.
+    pub async fn get(&self, key: &str) -> Result<Option<KeyValue>, StoreError> {
+        self.budget.spend(1.0).await;
+        let path = format!("/keys/{}", utf8_percent_encode(key, ESCAPED));
+        let (status, body) =
+            self.call(Method::GET, &path, None, constants::STORE_TIMEOUT_MS).await?;
+        match status {
+            StatusCode::OK => Self::read(status, &body).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(Self::odd(status, &body)),
+        }
+    }
+
+    /// Reads all keys with a prefix, page by page, and a revision from before the first page: a
+    /// watch from there misses nothing.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<KeyValue>, u64), StoreError> {
+        let mut all: Vec<KeyValue> = Vec::new();
+        let mut first_epoch = None;
+        loop {
+            self.budget.spend(1.0).await;
+            let mut path = format!("/keys?Prefix={}", utf8_percent_encode(prefix, ESCAPED));
+            if let Some(last) = all.last() {
+                path.push_str(&format!("&After={}", utf8_percent_encode(&last.key, ESCAPED)));
+            }
+            path.push_str("&Most=1000");
+            let (status, body) =
+                self.call(Method::GET, &path, None, constants::STORE_TIMEOUT_MS * 2).await?;
+            if status != StatusCode::OK {
+                return Err(Self::odd(status, &body));
+            }
+            let page: KeyPage = Self::read(status, &body)?;
+            let epoch = *first_epoch.get_or_insert(page.epoch);
+            let empty = page.pairs.is_empty();
+            all.extend(page.pairs);
+            if !page.has_next || empty {
+                return Ok((all, epoch));
+            }
+        }
+    }
+
+    /// Commits a transaction.
+    pub async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, StoreError> {
+        self.budget.spend(1.0).await;
+        let body = serde_json::to_vec(transaction)
+            .map_err(|e| StoreError::Unexpected(0, e.to_string()))?;
+        let (status, body) =
+            self.call(Method::POST, "/commit", Some(body), constants::STORE_TIMEOUT_MS).await?;
+        match status {
+            StatusCode::OK => {
+                let answer: CommitAnswer = Self::read(status, &body)?;
+                Ok(CommitOutcome::Applied(answer.epoch))
+            }
+            StatusCode::CONFLICT => {
+                let answer: CommitAnswer = Self::read(status, &body)?;
+                Ok(CommitOutcome::Refused(answer.failed))
+            }
+            StatusCode::BAD_REQUEST if body.windows(13).any(|w| w == b"no such lease") => {
+                Err(StoreError::NoLease)
+            }
+            _ => Err(Self::odd(status, &body)),
+        }
+    }
+
+    /// Asks for a lease.
+    pub async fn grant(&self, ttl_ms: u64) -> Result<u64, StoreError> {
+        self.budget.spend(1.0).await;
+        let body = serde_json::to_vec(&GrantRequest { ttl_ms })
+            .map_err(|e| StoreError::Unexpected(0, e.to_string()))?;
+        let (status, body) =
+            self.call(Method::POST, "/grants", Some(body), constants::STORE_TIMEOUT_MS).await?;
+        match status {
+            StatusCode::OK | StatusCode::CREATED => {
+                Self::read::<Grant>(status, &body).map(|g| g.permit)
+            }
+            _ => Err(Self::odd(status, &body)),
+        }
+    }
+
+    /// Extends a lease. Goes ahead of everything else: the budget is charged but never waited for.
+    pub async fn extend(&self, permit: u64) -> Result<(), StoreError> {
+        let _ = self.budget.take(1.0);
+        let path = format!("/grants/{permit}/extend");
+        let (status, body) = self
+            .call(Method::POST, &path, Some(b"{}".to_vec()), constants::STORE_TIMEOUT_MS)
+            .await?;
+        match status {
+            s if s.is_success() => Ok(()),
+            StatusCode::NOT_FOUND => Err(StoreError::NoLease),
+            _ => Err(Self::odd(status, &body)),
+        }
+    }
+
+    /// Ends a lease.
+    pub async fn release(&self, permit: u64) -> Result<(), StoreError> {
+        let path = format!("/grants/{permit}");
+        self.call(Method::DELETE, &path, None, constants::STORE_TIMEOUT_MS).await.map(|_| ())
+    }
+
+    /// Waits for changes of keys with a prefix.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<WatchAnswer, StoreError> {
+        self.budget.spend(1.0).await;
+        let path = format!(
+            "/watch?Prefix={}&After={after}&WaitMs={wait_ms}",
+            utf8_percent_encode(prefix, ESCAPED)
+        );
+        let limit = wait_ms + constants::WATCH_GRACE_MS;
+        let (status, body) = self.call(Method::GET, &path, None, limit).await?;
+        match status {
+            StatusCode::OK => Self::read(status, &body),
+            _ => Err(Self::odd(status, &body)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/constants/src/lib.rs
@@ -0,0 +1,131 @@
+//! Every tuning constant of hookway in one place, each with its unit and the reason for its value.
+//!
+//! Nothing here describes a particular deployment: what depends on one is derived from its settings
+//! and from the cloud's list of machine types.
+
+/// Length of the leadership lease, ms. Short, so that a crashed leader is replaced before users
+/// notice; long against a store answer that takes a few hundred ms.
+pub const LEADER_TTL_MS: u64 = 5_000;
+/// Pause between two extensions of the leadership lease, ms. Four tries fit into one lease.
+pub const LEADER_EXTEND_EVERY_MS: u64 = 1_200;
+/// Pause before a failed extension is tried again, ms. An outage ends at an unknown moment and every
+/// lease has its full time then, so a quick retry resumes service soonest.
+pub const LEADER_RETRY_MS: u64 = 250;
+/// Taken off the leader's own reckoning of its lease, ms. Covers late timers of a slow process.
+pub const LEADER_MARGIN_MS: u64 = 300;
+/// Drift of steady clocks that is allowed for, as a fraction. The protocol's bound is 0.0005; doubled.
+pub const CLOCK_DRIFT: f64 = 0.001;
+/// Added to a worker's lease before it counts as surely over, ms.
+pub const WORKER_LEASE_MARGIN_MS: u64 = 500;
+/// Largest pause before a node stands for leadership after it saw none, ms. Spreads the candidates.
+pub const ELECTION_JITTER_MS: u64 = 150;
+
+/// Time limit for one request to the state service, ms. Most take under 10 ms, some a few hundred.
+pub const STORE_TIMEOUT_MS: u64 = 1_200;
+/// Time a watch waits on the server, ms.
+pub const WATCH_WAIT_MS: u64 = 20_000;
+/// Added to a watch's waiting time before the client gives up, ms.
+pub const WATCH_GRACE_MS: u64 = 3_000;
+/// Pause before a failed watch is opened again, ms.
+pub const WATCH_RETRY_MS: u64 = 400;
+/// Share of the store's write rate that the leader's records may use. The rest is for submissions,
+/// which reach the store from every node.
+pub const LEADER_WRITE_SHARE: f64 = 0.7;
+/// Share of the store's write rate that the records of minimums may use (the design's bound).
+pub const MINIMUM_WRITE_SHARE: f64 = 0.5;
+/// Relative change of a minimum that makes its record be written again (the design's quarter).
+pub const MINIMUM_REWRITE_CHANGE: f64 = 0.25;
+/// Share of the store's request rate that one node allows itself.
+pub const NODE_REQUEST_SHARE: f64 = 0.3;
+/// Tasks in one progress record: 4 KiB of bits, which fit in any sensible value limit as base64.
+pub const PROGRESS_CHUNK_TASKS: u32 = 16_384;
+/// Pause between two rounds of the leader's writer when something is waiting, ms. Lets results of
+/// the same moment share a transaction.
+pub const FLUSH_EVERY_MS: u64 = 100;
+
+/// Time limit for one request to the cloud, ms.
+pub const CLOUD_TIMEOUT_MS: u64 = 6_000;
+/// Share of the cloud's request rate that the leader uses. A deposed leader may still have calls
+/// under way.
+pub const CLOUD_RATE_SHARE: f64 = 0.7;
+/// Pause between two readings of the machine list, ms.
+pub const CLOUD_LIST_EVERY_MS: u64 = 3_000;
+/// Pause between two readings of the machine types (their prices move), ms.
+pub const FLAVORS_EVERY_MS: u64 = 60_000;
+/// Pause before a failed reading of the machine types, ms.
+pub const FLAVORS_RETRY_MS: u64 = 700;
+/// Machines that one rental request may ask for (protocol).
+pub const RENT_AT_MOST: u32 = 50;
+/// Names that one deletion may hold (protocol).
+pub const DELETE_AT_MOST: usize = 100;
+/// Entries asked for in one page of the machine list (protocol's largest).
+pub const LIST_PAGE: u32 = 500;
+/// How long a type, zone and kind counts as sold out after a refusal, ms.
+pub const SOLD_OUT_MS: u64 = 15_000;
+/// A machine that is still booting after this many times its nominal boot time is given up.
+pub const BOOT_GIVE_UP_FACTOR: f64 = 4.0;
+/// Added to that, ms.
+pub const BOOT_GIVE_UP_MS: u64 = 10_000;
+/// Idle time after which a machine is returned, ms. A machine costs at least a minute anyway, and a
+/// returned one takes its images with it.
+pub const IDLE_RETURN_MS: u64 = 45_000;
+/// How long a machine may stay silent after its lease is surely over before it is returned, ms.
+pub const SILENT_RETURN_MS: u64 = 6_000;
+/// After this many list lags without an entry, a machine that had been listed is gone.
+pub const UNLISTED_LAGS: f64 = 3.0;
+
+/// Pause between two scheduling rounds, ms.
+pub const ROUND_EVERY_MS: u64 = 250;
+/// A report's answer includes a scheduling round unless one was held less than this ago, ms. Bounds
+/// the processor time when many workers report at once.
+pub const ROUND_AT_REPORT_MS: u64 = 40;
+/// Pause of the leader's clockwork, ms.
+pub const TICK_MS: u64 = 100;
+/// Pause between two fleet rounds, ms.
+pub const FLEET_EVERY_MS: u64 = 1_000;
+/// Length of a block lease from the leader to a controller, ms (the design's 15 s).
+pub const BLOCK_LEASE_MS: u64 = 15_000;
+/// A machine that has refused a start for lack of room takes no new task for this long, ms.
+pub const NO_ROOM_PAUSE_MS: u64 = 3_000;
+/// Errors of distinct jobs in a row after which a machine counts as faulty.
+pub const FAULTY_AFTER_ERRORS: u32 = 2;
+/// First pause after a job's task ended with an error, ms; doubled for each further one.
+pub const ERROR_PAUSE_MS: u64 = 1_000;
+/// Longest such pause, ms.
+pub const ERROR_PAUSE_MAX_MS: u64 = 30_000;
+/// Stops of one machine's work for a job of higher rank wait this long for machines to free up by
+/// themselves, ms.
+pub const PREEMPT_AFTER_MS: u64 = 1_500;
+/// A command to stop that has had no effect is sent again with no grace after SnapshotS and this, ms.
+pub const STOP_PATIENCE_MS: u64 = 10_000;
+/// Deadline assumed, in multiples of the estimate, when sizing the fleet for deadline-free jobs.
+pub const FREE_JOB_STRETCH: f64 = 2.0;
+/// Weight of a machine's missing image against its price when choosing where a task goes, s.
+pub const IMAGE_MISS_PENALTY: f64 = 1.0;
+
+/// Largest request body, bytes (protocol).
+pub const BODY_LIMIT: usize = 64 * 1024;
+/// Time a node takes at most to answer a submission, ms. Users wait 5 s.
+pub const SUBMIT_LIMIT_MS: u64 = 3_500;
+/// Time a node takes at most to answer a status request, ms. Users wait 2 s.
+pub const STATUS_LIMIT_MS: u64 = 1_500;
+/// Time for one exchange with another controller, ms.
+pub const PEER_TIMEOUT_MS: u64 = 600;
+/// Largest message between controllers, bytes: a submission and its envelope.
+pub const PEER_FRAME_LIMIT: usize = 80 * 1024;
+/// Idle connections kept to each other controller.
+pub const PEER_IDLE: usize = 4;
+/// What `Retry-After` says, s.
+pub const RETRY_AFTER_S: u32 = 1;
+/// Share of the socket limit that may be requests in progress.
+pub const IN_PROGRESS_SOCKET_SHARE: f64 = 0.25;
+/// Fewest requests in progress that the adaptive limit allows.
+pub const IN_PROGRESS_LEAST: usize = 8;
+/// Answer time above which the adaptive limit shrinks, ms. Well under a user's patience of 2 s.
+pub const IN_PROGRESS_TARGET_MS: u64 = 400;
+/// Jobs whose final state a node keeps in memory.
+pub const FINAL_CACHE: usize = 4_096;
+/// Messages that may wait for an actor.
+pub const MAILBOX: usize = 1_024;
+/// Plain-words reasons that a job keeps.
+pub const NOTES_KEPT: usize = 6;
--- /dev/null
+++ b/crates/controller/src/api.rs
@@ -0,0 +1,549 @@
+//! The interface for users, workers and health checks, and the desk that decides its answers.
+
+use crate::config::Params;
+use crate::lead::{View, wall_ms};
+use crate::ledger::{Lookup, Withdrawal};
+use crate::limiter::Limiter;
+use crate::node::{Ask, CheckInReply};
+use crate::peers::{PeerAsk, Peers};
+use crate::records::{FinalRecord, JobRecord, LEAD_NOW, final_key, job_key};
+use hookway_clients::{CommitOutcome, StoreClient, StoreError};
+use hookway_constants as constants;
+use hookway_policy::Room;
+use hookway_wire::{
+    Change, CheckIn, ErrorBody, Flavor, Guard, JobId, JobSpec, JobState, JobStatus,
+    ReportElsewhere, Transaction,
+};
+use salvo::http::{HeaderValue, StatusCode};
+use salvo::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// A job's state, as controllers tell it one another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The job.
+    pub id: JobId,
+    /// Its state.
+    pub state: JobState,
+    /// Completed tasks.
+    pub done: u32,
+    /// Running tasks.
+    pub running: u32,
+    /// The team.
+    pub owner: Option<String>,
+    /// The controller that commands it.
+    pub commander: Option<String>,
+    /// Why attempts ended.
+    pub notes: Vec<String>,
+}
+
+impl From<JobStatus> for Told {
+    fn from(s: JobStatus) -> Self {
+        Self {
+            id: s.name_id,
+            state: s.status,
+            done: s.done,
+            running: s.running,
+            owner: s.owner,
+            commander: s.commander,
+            notes: s.notes,
+        }
+    }
+}
+
+impl From<Told> for JobStatus {
+    fn from(t: Told) -> Self {
+        Self {
+            name_id: t.id,
+            status: t.state,
+            done: t.done,
+            running: t.running,
+            owner: t.owner,
+            commander: t.commander,
+            notes: t.notes,
+        }
+    }
+}
+
+/// The answer to a user's request, before it becomes HTTP.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Accepted just now.
+    Accepted(Told),
+    /// The job's state.
+    Known(Told),
+    /// Never accepted.
+    Absent,
+    /// Refused with this status.
+    Refused(u16, String),
+    /// Can't be decided now.
+    Later(String),
+}
+
+/// Final states that this node has learnt, oldest first out.
+#[derive(Debug, Default)]
+struct Finals {
+    states: HashMap<JobId, Told>,
+    order: VecDeque<JobId>,
+}
+
+/// Decides the answers to users.
+pub struct Desk {
+    /// Settings.
+    pub params: Params,
+    /// This node's name.
+    pub label: String,
+    /// The state service.
+    pub store: StoreClient,
+    /// The other controllers.
+    pub peers: Peers,
+    /// The node's actor.
+    pub node: mpsc::Sender<Ask>,
+    /// Who leads.
+    pub view: watch::Receiver<View>,
+    /// Machine types, once known.
+    pub flavors: watch::Receiver<Option<Arc<Vec<Flavor>>>>,
+    finals: Mutex<Finals>,
+    limiter: Limiter,
+}
+
+/// What the state service says of a job.
+enum Stored {
+    Open(String, serde_json::Value),
+    Over(Told),
+    Nothing,
+}
+
+fn later(why: &str) -> Verdict {
+    Verdict::Later(why.to_owned())
+}
+
+impl Desk {
+    /// A desk.
+    pub fn new(
+        params: Params,
+        label: String,
+        store: StoreClient,
+        peers: Peers,
+        node: mpsc::Sender<Ask>,
+        view: watch::Receiver<View>,
+        flavors: watch::Receiver<Option<Arc<Vec<Flavor>>>>,
+    ) -> Self {
+        let most = params.machine_limits.max_sockets as f64 * constants::IN_PROGRESS_SOCKET_SHARE;
+        let limiter = Limiter::new(most as usize);
+        let finals = Mutex::default();
+        Self { params, label, store, peers, node, view, flavors, finals, limiter }
+    }
+
+    fn final_state(&self, id: &JobId) -> Option<Told> {
+        self.finals.lock().ok()?.states.get(id).cloned()
+    }
+
+    /// Remembers a final state; it can't change any more.
+    fn remember(&self, told: &Told) {
+        if !told.state.is_final() {
+            return;
+        }
+        if let Ok(mut finals) = self.finals.lock()
+            && finals.states.insert(told.id.clone(), told.clone()).is_none()
+        {
+            finals.order.push_back(told.id.clone());
+            if finals.order.len() > constants::FINAL_CACHE
+                && let Some(old) = finals.order.pop_front()
+            {
+                finals.states.remove(&old);
+            }
+        }
+    }
+
+    fn known(&self, told: Told) -> Verdict {
+        self.remember(&told);
+        Verdict::Known(told)
+    }
+
+    /// Asks this node's actor; `None` if the node does not lead.
+    async fn ask<T>(&self, make: impl FnOnce(oneshot::Sender<Option<T>>) -> Ask) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.node.send(make(reply)).await.ok()?;
+        answer.await.ok().flatten()
+    }
+
+    /// Asks the leader, if it is another node and known.
+    async fn ask_leader(&self, ask: &PeerAsk, limit_ms: u64) -> Option<Verdict> {
+        let leader = self.view.borrow().leader.clone()?;
+        match self.peers.ask(&leader, ask, limit_ms).await {
+            Ok(Verdict::Later(_)) => None,
+            Ok(verdict) => {
+                if let Verdict::Known(told) = &verdict {
+                    self.remember(told);
+                }
+                Some(verdict)
+            }
+            Err(e) => {
+                tracing::debug!("asking {leader}: {e}");
+                None
+            }
+        }
+    }
+
+    /// Reads a job in the state service. The job's record is read first: it goes in the same
+    /// transaction in which the final state comes, so a job that was accepted is seen in one or
+    /// the other.
+    async fn stored(&self, id: &JobId) -> Result<Stored, StoreError> {
+        if let Some(kv) = self.store.get(&job_key(id)).await? {
+            return Ok(Stored::Open(kv.key, kv.v));
+        }
+        let Some(kv) = self.store.get(&final_key(id)).await? else { return Ok(Stored::Nothing) };
+        let record: FinalRecord =
+            serde_json::from_value(kv.v).map_err(|e| StoreError::Unexpected(200, e.to_string()))?;
+        Ok(Stored::Over(record.status(id).into()))
+    }
+
+    fn queued(&self, id: &JobId, value: &serde_json::Value) -> Told {
+        let owner = value.pointer("/spec/Owner").and_then(|o| o.as_str()).map(str::to_owned);
+        Told {
+            id: id.clone(),
+            state: JobState::Queued,
+            done: 0,
+            running: 0,
+            owner,
+            commander: self.view.borrow().leader.clone(),
+            notes: vec![],
+        }
+    }
+
+    /// A job's state. A state that can still change comes from the leader or from a fresh reading
+    /// of the state service; a final one may come from memory.
+    pub async fn status(&self, id: &JobId, from_peer: bool) -> Verdict {
+        if let Some(told) = self.final_state(id) {
+            return Verdict::Known(told);
+        }
+        let mine = self.ask(|r| Ask::Status(id.clone(), r)).await;
+        let lead = mine.is_some();
+        match mine {
+            Some(Lookup::Known(status)) => return self.known(status.into()),
+            None if from_peer => return later("this node does not lead"),
+            None => {
+                let ask = PeerAsk::Status(id.to_string());
+                if let Some(verdict) = self.ask_leader(&ask, constants::PEER_TIMEOUT_MS).await {
+                    return verdict;
+                }
+            }
+            _ => {}
+        }
+        match self.stored(id).await {
+            Ok(Stored::Over(told)) => self.known(told),
+            Ok(Stored::Open(key, value)) => {
+                let told = self.queued(id, &value);
+                if lead {
+                    self.ask(|r| Ask::Adopt(key, value, r)).await;
+                }
+                Verdict::Known(told)
+            }
+            Ok(Stored::Nothing) => Verdict::Absent,
+            Err(e) => Verdict::Later(e.to_string()),
+        }
+    }
+
+    /// Withdraws a job. The leader decides; without one, the state service does, on the condition
+    /// that nobody leads.
+    pub async fn withdraw(&self, id: &JobId, from_peer: bool) -> Verdict {
+        if let Some(told) = self.final_state(id) {
+            return Verdict::Known(told);
+        }
+        for _ in 0..2 {
+            match self.ask(|r| Ask::Withdraw(id.clone(), r)).await {
+                Some(Withdrawal::Over(status)) => return self.known(status.into()),
+                Some(Withdrawal::Pending) => return later("the decision is not durable yet"),
+                Some(Withdrawal::NotHere) => match self.stored(id).await {
+                    Ok(Stored::Over(told)) => return self.known(told),
+                    Ok(Stored::Nothing) => return Verdict::Absent,
+                    Ok(Stored::Open(key, value)) => {
+                        self.ask(|r| Ask::Adopt(key, value, r)).await;
+                    }
+                    Err(e) => return Verdict::Later(e.to_string()),
+                },
+                None if from_peer => return later("this node does not lead"),
+                None => break,
+            }
+        }
+        let ask = PeerAsk::Withdraw(id.to_string());
+        if let Some(verdict) = self.ask_leader(&ask, constants::STATUS_LIMIT_MS).await {
+            return verdict;
+        }
+        self.withdraw_without_leader(id).await
+    }
+
+    async fn withdraw_without_leader(&self, id: &JobId) -> Verdict {
+        let value = match self.stored(id).await {
+            Ok(Stored::Over(told)) => return self.known(told),
+            Ok(Stored::Nothing) => return Verdict::Absent,
+            Ok(Stored::Open(_, value)) => value,
+            Err(e) => return Verdict::Later(e.to_string()),
+        };
+        let owner = self.queued(id, &value).owner.unwrap_or_default();
+        let record = FinalRecord { state: JobState::Withdrawn, done: 0, owner, notes: vec![] };
+        let Ok(v) = serde_json::to_value(&record) else { return later("internal") };
+        let transaction = Transaction {
+            guards: vec![
+                Guard { key: LEAD_NOW.into(), stamp: 0 },
+                Guard { key: final_key(id), stamp: 0 },
+            ],
+            apply: vec![Change::put(final_key(id), v), Change::delete(job_key(id))],
+        };
+        match self.store.commit(&transaction).await {
+            Ok(CommitOutcome::Applied(_)) => self.known(record.status(id).into()),
+            Ok(CommitOutcome::Refused(_)) => later("the job's leader can't be reached"),
+            Err(e) => Verdict::Later(e.to_string()),
+        }
+    }
+
+    /// Whether a job can run at all; `None` if that can't be told yet.
+    fn runnable(&self, spec: &JobSpec) -> Option<Result<(), String>> {
+        let flavors = self.flavors.borrow().clone()?;
+        let Some(team) = self.params.teams.iter().find(|t| t.name == spec.owner) else {
+            return Some(Err(format!("unknown team {}", spec.owner)));
+        };
+        let need = Room::of_task(spec);
+        let fits = flavors.iter().any(|f| {
+            spec.flavors.as_ref().is_none_or(|list| list.contains(&f.label))
+                && spec.yard.as_ref().is_none_or(|y| f.yards.contains(y))
+                && Room::of_flavor(f).fits(&need)
+        });
+        if !fits {
+            return Some(Err("a task fits no allowed machine type".into()));
+        }
+        let tasks = if spec.is_gang() { f64::from(spec.pieces) } else { 1.0 };
+        let over = |limit: f64, need: f64| limit > 0.0 && need * tasks > limit + 1e-6;
+        if over(team.cpus_max, spec.vcpus) || over(team.gpus_max, spec.gpus) {
+            return Some(Err("the job needs more than its team's limit".into()));
+        }
+        Some(Ok(()))
+    }
+
+    /// Takes a submission. It is accepted once it is in the state service, at whichever node.
+    pub async fn submit(&self, body: &[u8], from_peer: bool) -> Verdict {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(why) => return Verdict::Refused(400, why),
+        };
+        let id = spec.name_id.clone();
+        if let Some(told) = self.final_state(&id) {
+            return Verdict::Known(told);
+        }
+        match self.runnable(&spec) {
+            None => return later("the machine types are not known yet"),
+            Some(Ok(())) => {}
+            Some(Err(why)) => {
+                // What was accepted once is never refused later.
+                return match self.stored(&id).await {
+                    Ok(Stored::Nothing) => Verdict::Refused(422, why),
+                    Ok(_) => self.status(&id, from_peer).await,
+                    Err(e) => Verdict::Later(e.to_string()),
+                };
+            }
+        }
+        let owner = spec.owner.clone();
+        let record = JobRecord { spec, at_ms: wall_ms() };
+        let Ok(value) = serde_json::to_value(&record) else { return later("internal") };
+        if value.to_string().len() as f64 > self.params.state.value_kb * 1024.0 {
+            return Verdict::Refused(400, "the job's description is too long".into());
+        }
+        let transaction = Transaction {
+            guards: vec![
+                Guard { key: job_key(&id), stamp: 0 },
+                Guard { key: final_key(&id), stamp: 0 },
+            ],
+            apply: vec![Change::put(job_key(&id), value.clone())],
+        };
+        match self.store.commit(&transaction).await {
+            Ok(CommitOutcome::Applied(_)) => {
+                let told = Told { owner: Some(owner), ..self.queued(&id, &value) };
+                Verdict::Accepted(told)
+            }
+            Ok(CommitOutcome::Refused(_)) => self.status(&id, from_peer).await,
+            // No answer: it may have been applied, or may be later. Read, never assume.
+            Err(StoreError::Unknown(_)) => match self.stored(&id).await {
+                Ok(Stored::Open(..)) => Verdict::Accepted(self.queued(&id, &value)),
+                Ok(Stored::Over(told)) => self.known(told),
+                Ok(Stored::Nothing) => later("the state service did not answer"),
+                Err(e) => Verdict::Later(e.to_string()),
+            },
+            Err(e) if from_peer => Verdict::Later(e.to_string()),
+            Err(e) => self.submit_elsewhere(body, &e.to_string()).await,
+        }
+    }
+
+    /// The state service may refuse this node alone: another one may get through.
+    async fn submit_elsewhere(&self, body: &[u8], why: &str) -> Verdict {
+        let ask = PeerAsk::Submit(body.to_vec());
+        for name in self.peers.names() {
+            match self.peers.ask(&name, &ask, constants::PEER_TIMEOUT_MS).await {
+                Ok(Verdict::Later(_)) | Err(_) => {}
+                Ok(verdict) => return verdict,
+            }
+        }
+        later(why)
+    }
+
+    /// Answers another controller, from this node's own knowledge.
+    pub async fn answer_peer(&self, ask: PeerAsk) -> Verdict {
+        match ask {
+            PeerAsk::Status(id) => match JobId::parse(&id) {
+                Some(id) => self.status(&id, true).await,
+                None => Verdict::Absent,
+            },
+            PeerAsk::Withdraw(id) => match JobId::parse(&id) {
+                Some(id) => self.withdraw(&id, true).await,
+                None => Verdict::Absent,
+            },
+            PeerAsk::Submit(body) => self.submit(&body, true).await,
+        }
+    }
+
+    async fn check_in(&self, report: CheckIn) -> CheckInReply {
+        let (reply, answer) = oneshot::channel();
+        if self.node.send(Ask::CheckIn(report, reply)).await.is_err() {
+            return CheckInReply::Unsure;
+        }
+        answer.await.unwrap_or(CheckInReply::Unsure)
+    }
+}
+
+fn refuse(res: &mut Response, status: StatusCode, why: &str) {
+    res.status_code(status);
+    res.render(Json(ErrorBody { error: why.to_owned() }));
+}
+
+fn unavailable(res: &mut Response, why: &str) {
+    refuse(res, StatusCode::SERVICE_UNAVAILABLE, why);
+    res.headers_mut().insert("retry-after", HeaderValue::from(constants::RETRY_AFTER_S));
+}
+
+fn render(res: &mut Response, verdict: Verdict) {
+    match verdict {
+        Verdict::Accepted(told) => {
+            res.status_code(StatusCode::CREATED);
+            res.render(Json(JobStatus::from(told)));
+        }
+        Verdict::Known(told) => {
+            res.status_code(StatusCode::OK);
+            res.render(Json(JobStatus::from(told)));
+        }
+        Verdict::Absent => refuse(res, StatusCode::NOT_FOUND, "no such job"),
+        Verdict::Refused(status, why) => {
+            refuse(res, StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST), &why);
+        }
+        Verdict::Later(why) => unavailable(res, &why),
+    }
+}
+
+/// Which request of a user.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Submit,
+    Status,
+    Withdraw,
+}
+
+struct UserHandler(Arc<Desk>, Kind);
+
+#[async_trait]
+impl Handler for UserHandler {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let Self(desk, kind) = self;
+        let Some(pass) = desk.limiter.enter() else {
+            return unavailable(res, "too many requests in progress");
+        };
+        let begun = Instant::now();
+        let limit = match kind {
+            Kind::Status => constants::STATUS_LIMIT_MS,
+            Kind::Submit | Kind::Withdraw => constants::SUBMIT_LIMIT_MS,
+        };
+        let work = async {
+            if *kind == Kind::Submit {
+                return match req.payload_with_max_size(constants::BODY_LIMIT).await {
+                    Ok(body) => desk.submit(body, false).await,
+                    Err(_) => Verdict::Refused(400, "the body is over 64 KiB or broken".into()),
+                };
+            }
+            let Some(id) = req.param::<String>("id").as_deref().and_then(JobId::parse) else {
+                return Verdict::Absent;
+            };
+            if *kind == Kind::Status {
+                desk.status(&id, false).await
+            } else {
+                desk.withdraw(&id, false).await
+            }
+        };
+        let verdict = tokio::time::timeout(Duration::from_millis(limit), work)
+            .await
+            .unwrap_or_else(|_| later("no decision in time"));
+        desk.limiter.measured(begun.elapsed());
+        drop(pass);
+        render(res, verdict);
+    }
+}
+
+struct CheckInHandler(Arc<Desk>);
+
+#[async_trait]
+impl Handler for CheckInHandler {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let report = match req.payload_with_max_size(constants::BODY_LIMIT).await {
+            Ok(body) => serde_json::from_slice::<CheckIn>(body).map_err(|e| e.to_string()),
+            Err(e) => Err(e.to_string()),
+        };
+        let report = match report {
+            Ok(report) => report,
+            Err(why) => {
+                tracing::error!("a report can't be read: {why}");
+                return refuse(res, StatusCode::BAD_REQUEST, &why);
+            }
+        };
+        match self.0.check_in(report).await {
+            CheckInReply::Answer(answer) => {
+                res.status_code(StatusCode::OK);
+                res.render(Json(answer));
+            }
+            CheckInReply::Elsewhere(foreman) => {
+                res.status_code(StatusCode::MISDIRECTED_REQUEST);
+                res.render(Json(ReportElsewhere { foreman }));
+            }
+            CheckInReply::Unsure => unavailable(res, "not entitled to answer"),
+        }
+    }
+}
+
+#[handler]
+async fn up(res: &mut Response) {
+    res.status_code(StatusCode::OK);
+    res.render(Json(serde_json::json!({ "up": true })));
+}
+
+#[handler]
+async fn plain_error(res: &mut Response, ctrl: &mut FlowCtrl) {
+    let status = res.status_code.unwrap_or(StatusCode::NOT_FOUND);
+    let why = status.canonical_reason().unwrap_or("error").to_lowercase();
+    refuse(res, status, &why);
+    ctrl.skip_rest();
+}
+
+/// All routes.
+pub fn service(desk: Arc<Desk>) -> Service {
+    let user = |kind| UserHandler(desk.clone(), kind);
+    let router = Router::new()
+        .push(Router::with_path("up").get(up))
+        .push(Router::with_path("checkin").post(CheckInHandler(desk.clone())))
+        .push(
+            Router::with_path("api/jobs")
+                .post(user(Kind::Submit))
+                .push(Router::with_path("{id}").get(user(Kind::Status)))
+                .push(Router::with_path("{id}/withdraw").post(user(Kind::Withdraw))),
+        );
+    Service::new(router).catcher(salvo::catcher::Catcher::default().hoop(plain_error))
+}
--- /dev/null
+++ b/crates/controller/src/blocks.rs
@@ -0,0 +1,74 @@
+//! Blocks of machines that the leader leases to controllers.
+//!
+//! A machine is in one controller's block until the block's lease runs out, and only the holder of
+//! the block places tasks on it. In this version the leader draws one block with all machines and
+//! holds it itself; a holder that is gone loses its block when the lease ends.
+
+use std::collections::HashMap;
+
+/// The lease of one machine's place in a block.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BlockLease {
+    /// The controller.
+    pub holder: String,
+    /// When the lease ends, ms.
+    pub until_ms: u64,
+}
+
+/// Which controller holds which machine.
+#[derive(Debug, Default)]
+pub struct Blocks {
+    leases: HashMap<String, BlockLease>,
+}
+
+impl Blocks {
+    /// Leases a machine to `holder` until `until_ms`, unless another holder's lease still runs.
+    pub fn lease(&mut self, host: &str, holder: &str, now_ms: u64, until_ms: u64) -> bool {
+        match self.leases.get_mut(host) {
+            Some(l) if l.holder != holder && l.until_ms > now_ms => false,
+            Some(l) if l.holder == holder => {
+                l.until_ms = l.until_ms.max(until_ms);
+                true
+            }
+            _ => {
+                let lease = BlockLease { holder: holder.to_owned(), until_ms };
+                self.leases.insert(host.to_owned(), lease);
+                true
+            }
+        }
+    }
+
+    /// Whether `holder` holds the machine now.
+    pub fn holds(&self, host: &str, holder: &str, now_ms: u64) -> bool {
+        self.leases.get(host).is_some_and(|l| l.holder == holder && l.until_ms > now_ms)
+    }
+
+    /// Forgets a machine that is gone.
+    pub fn forget(&mut self, host: &str) {
+        self.leases.remove(host);
+    }
+
+    /// The part of a minimum that falls to a block: its share of all machines, rounded up.
+    pub fn share(minimum: u32, block: usize, all: usize) -> u32 {
+        if all == 0 {
+            return 0;
+        }
+        (f64::from(minimum) * block as f64 / all as f64).ceil() as u32
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_block_is_held_until_its_lease_ends() {
+        let mut blocks = Blocks::default();
+        assert!(blocks.lease("m-1", "one", 0, 15_000));
+        assert!(!blocks.lease("m-1", "two", 14_999, 30_000));
+        assert!(blocks.holds("m-1", "one", 14_999));
+        assert!(!blocks.holds("m-1", "one", 15_000));
+        assert!(blocks.lease("m-1", "two", 15_000, 30_000));
+        assert_eq!(Blocks::share(10, 1, 3), 4);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/config.rs
@@ -0,0 +1,364 @@
+//! Settings: the platform's TOML file, and the operators' own INI file.
+
+use serde::Deserialize;
+use std::path::Path;
+
+/// Why settings can't be used. The message names the setting.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file can't be read.
+    #[error("can't read {0}: {1}")]
+    Unreadable(String, std::io::Error),
+    /// The file is not what it should be.
+    #[error("{0}: {1}")]
+    Invalid(String, String),
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Sibling {
+    /// Its name.
+    pub label: String,
+    /// Where it listens for other controllers.
+    pub address: String,
+}
+
+/// What lies outside the controllers.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Outside {
+    /// The cloud.
+    pub cloud: String,
+    /// The state service.
+    pub state: String,
+}
+
+/// A team with its guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most CPUs.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most GPUs.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    /// Its kind: `wait`, `finished`, `deadline`, or one that this version does not know.
+    pub kind: String,
+    /// The class of jobs.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// Time, s.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+/// What workers keep to.
+#[derive(Debug, Clone, Deserialize)]
+pub struct WorkerSettings {
+    /// Time between reports, s.
+    pub report_s: f64,
+    /// Lease of a worker, s.
+    pub lease_s: f64,
+    /// Longest wait of a gang for its tasks, s.
+    pub gang_wait_s: f64,
+    /// Time in which a gang notices a loss, s.
+    pub gang_peer_s: f64,
+    /// Time for a cancellation, s.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateSettings {
+    /// Requests a second.
+    pub rps: f64,
+    /// Changes a second.
+    pub write_rps: f64,
+    /// Largest value, KiB.
+    pub value_kb: f64,
+    /// Changes in a transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudSettings {
+    /// Requests a second.
+    pub rps: f64,
+    /// How late the machine list is, s.
+    pub list_lag_s: f64,
+}
+
+/// Limits of the controller's own machine.
+#[derive(Debug, Clone, Deserialize)]
+pub struct MachineLimits {
+    /// Most sockets.
+    #[serde(default = "default_sockets")]
+    pub max_sockets: usize,
+}
+
+fn default_sockets() -> usize {
+    1000
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self { max_sockets: default_sockets() }
+    }
+}
+
+/// The `settings` table.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// Aims.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Workers.
+    pub workers: WorkerSettings,
+    /// State service.
+    pub state: StateSettings,
+    /// Cloud.
+    pub cloud: CloudSettings,
+    /// This machine.
+    #[serde(default)]
+    pub machine_limits: MachineLimits,
+}
+
+/// The platform's settings file. Fields that it does not know are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    /// This node's name.
+    pub label: String,
+    /// This node's zone.
+    #[serde(default)]
+    pub domain: String,
+    /// Where users, workers and health checks come.
+    pub api_addr: String,
+    /// Where the other controllers come.
+    pub peer_bind: String,
+    /// The other controllers.
+    #[serde(default)]
+    pub siblings: Vec<Sibling>,
+    /// Services outside.
+    pub outside: Outside,
+    /// Everything else.
+    pub settings: Params,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let name = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(name.clone(), e))?;
+        Self::parse(&text).map_err(|e| ConfigError::Invalid(name, e))
+    }
+
+    /// Reads and checks settings.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let settings: Self = toml::from_str(text).map_err(|e| {
+            let message = e.message().to_owned();
+            match e.span() {
+                Some(span) => {
+                    let line = text[..span.start.min(text.len())].lines().count();
+                    format!("{message} (line {line})")
+                }
+                None => message,
+            }
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.label.is_empty() {
+            return Err("label must not be empty".into());
+        }
+        let addresses = [
+            ("api_addr", &self.api_addr),
+            ("peer_bind", &self.peer_bind),
+            ("outside.cloud", &self.outside.cloud),
+            ("outside.state", &self.outside.state),
+        ];
+        let siblings = self.siblings.iter().map(|s| ("siblings.address", &s.address));
+        for (name, address) in addresses.into_iter().chain(siblings) {
+            if address.parse::<std::net::SocketAddr>().is_err() {
+                return Err(format!("{name} must be an address with a port, not {address:?}"));
+            }
+        }
+        let p = &self.settings;
+        if p.zones.is_empty() {
+            return Err("settings.zones must name a zone".into());
+        }
+        let positive = [
+            ("settings.workers.report_s", p.workers.report_s),
+            ("settings.workers.lease_s", p.workers.lease_s),
+            ("settings.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("settings.workers.gang_peer_s", p.workers.gang_peer_s),
+            ("settings.workers.cancel_s", p.workers.cancel_s),
+            ("settings.state.rps", p.state.rps),
+            ("settings.state.write_rps", p.state.write_rps),
+            ("settings.state.value_kb", p.state.value_kb),
+            ("settings.cloud.rps", p.cloud.rps),
+        ];
+        for (name, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(format!("{name} must be a number above 0, not {value}"));
+            }
+        }
+        if p.state.txn_ops < 2 {
+            return Err("settings.state.txn_ops must be at least 2".into());
+        }
+        for team in &p.teams {
+            for value in [team.cpus, team.cpus_max, team.gpus, team.gpus_max] {
+                if !(value.is_finite() && value >= 0.0) {
+                    return Err(format!("settings.teams: {} has a negative amount", team.name));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What the operators may set themselves, in an INI file. Every key is optional; unknown ones are
+/// refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorSettings {
+    /// `[fleet] idle_return_s`: idle time after which a machine is returned, ms.
+    pub idle_return_ms: u64,
+    /// `[fleet] most_machines`: machines rented at a time, at most.
+    pub most_machines: usize,
+    /// `[scheduling] block_lease_s`: length of a block lease, ms.
+    pub block_lease_ms: u64,
+}
+
+impl Default for OperatorSettings {
+    fn default() -> Self {
+        Self {
+            idle_return_ms: hookway_constants::IDLE_RETURN_MS,
+            most_machines: usize::MAX,
+            block_lease_ms: hookway_constants::BLOCK_LEASE_MS,
+        }
+    }
+}
+
+impl OperatorSettings {
+    /// Reads and checks an INI file.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let name = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(name.clone(), e))?;
+        Self::parse(&text).map_err(|e| ConfigError::Invalid(name, e))
+    }
+
+    /// Reads and checks INI text.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let ini = ini::Ini::load_from_str(text).map_err(|e| e.to_string())?;
+        let mut found = Self::default();
+        for (section, properties) in ini.iter() {
+            for (key, value) in properties.iter() {
+                let name = format!("[{}] {key}", section.unwrap_or(""));
+                let seconds = || -> Result<u64, String> {
+                    let s: f64 =
+                        value.trim().parse().map_err(|_| format!("{name} must be a number"))?;
+                    if s.is_finite() && (1.0..=86_400.0).contains(&s) {
+                        Ok((s * 1000.0) as u64)
+                    } else {
+                        Err(format!("{name} must be from 1 to 86400 seconds"))
+                    }
+                };
+                match (section, key) {
+                    (Some("fleet"), "idle_return_s") => found.idle_return_ms = seconds()?,
+                    (Some("fleet"), "most_machines") => {
+                        found.most_machines = value
+                            .trim()
+                            .parse()
+                            .map_err(|_| format!("{name} must be a whole number"))?;
+                    }
+                    (Some("scheduling"), "block_lease_s") => found.block_lease_ms = seconds()?,
+                    _ => return Err(format!("unknown setting {name}")),
+                }
+            }
+        }
+        Ok(found)
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub(crate) const SAMPLE: &str = r#"
+label = "worker-0"
+domain = "a"
+api_addr = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+something_new = 3
+[[siblings]]
+label = "worker-1"
+domain = "b"
+address = "127.0.0.1:9081"
+[outside]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[settings]
+zones = ["a", "b"]
+[[settings.teams]]
+name = "team"
+[[settings.objectives]]
+kind = "finished"
+class = "cleanup"
+within_s = 150.0
+share = 0.8
+[settings.workers]
+report_s = 2.0
+lease_s = 14.0
+gang_wait_s = 35.0
+gang_peer_s = 4.0
+cancel_s = 44.0
+[settings.state]
+rps = 200.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 8
+[settings.cloud]
+rps = 4.0
+list_lag_s = 4.0
+"#;
+
+    #[test]
+    fn unknown_settings_are_ignored_and_wrong_ones_named() {
+        assert!(Settings::parse(SAMPLE).is_ok());
+        let broken = SAMPLE.replace("lease_s = 14.0", "");
+        assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
+        let broken = SAMPLE.replace("lease_s = 14.0", "lease_s = -1.0");
+        assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
+        let broken = SAMPLE.replace("127.0.0.1:2379", "nowhere");
+        assert!(Settings::parse(&broken).unwrap_err().contains("outside.state"));
+    }
+
+    #[test]
+    fn operator_settings_refuse_unknown_keys() {
+        let found = OperatorSettings::parse("[fleet]\nidle_return_s = 30\n").unwrap();
+        assert_eq!(found.idle_return_ms, 30_000);
+        assert!(OperatorSettings::parse("[fleet]\nidle = 30\n").unwrap_err().contains("idle"));
+        assert!(OperatorSettings::parse("[fleet]\nidle_return_s = soon\n").is_err());
+    }
+}
--- /dev/null
+++ b/crates/controller/src/lead.rs
@@ -0,0 +1,296 @@
+//! Leadership: one leader at a time, by a leased key in the state service.
+//!
+//! `lead/now` hangs on the leader's lease and names it; `lead/term` only grows. Both change in one
+//! transaction that demands that nobody leads and that the term is the one that was read. The
+//! leader reckons its lease from before each request was sent, on its steady clock, less drift and
+//! a margin; past that it answers no worker and decides nothing until an extension succeeds. After
+//! an outage leases have their full time again, so it often can go on.
+
+use crate::ledger::Moment;
+use crate::records::{LEAD, LEAD_NOW, LEAD_TERM, LeadRecord};
+use hookway_clients::{CommitOutcome, StoreClient, StoreError};
+use hookway_constants as constants;
+use hookway_wire::{Change, Event, Guard, KeyValue, Transaction};
+use rand::RngExt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+/// The clocks of this process.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self { start: Instant::now() }
+    }
+}
+
+impl Clock {
+    /// Steady clock, ms since the start of the process.
+    pub fn now(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Both clocks.
+    pub fn moment(&self) -> Moment {
+        Moment { now: self.now(), wall: wall_ms() }
+    }
+}
+
+/// Time of day, ms.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// A won leadership.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mandate {
+    /// The term.
+    pub term: u64,
+    /// The guard that every durable write carries.
+    pub guard: Guard,
+    /// The lease.
+    pub permit: u64,
+}
+
+/// What this node knows of the leadership.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct View {
+    /// The leader's name, as last seen.
+    pub leader: Option<String>,
+    /// Set while this node leads.
+    pub mandate: Option<Mandate>,
+}
+
+/// How long this node's lease surely lasts.
+#[derive(Debug, Default)]
+pub struct Validity(AtomicU64);
+
+impl Validity {
+    /// Whether this node may act as the leader at `now`, ms.
+    pub fn holds(&self, now: u64) -> bool {
+        now < self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, until: u64) {
+        self.0.store(until, Ordering::Relaxed);
+    }
+}
+
+/// Until when a lease surely lasts whose request was sent at `sent`, ms.
+pub fn valid_until(sent: u64, ttl_ms: u64) -> u64 {
+    let drift = (ttl_ms as f64 * constants::CLOCK_DRIFT).ceil() as u64;
+    (sent + ttl_ms).saturating_sub(drift + constants::LEADER_MARGIN_MS)
+}
+
+/// The actor that seeks, keeps and loses leadership.
+pub struct Leadership {
+    /// This node's name.
+    pub label: String,
+    /// The state service.
+    pub store: StoreClient,
+    /// Clocks.
+    pub clock: Clock,
+    /// How long the lease surely lasts.
+    pub validity: Arc<Validity>,
+    /// Where the view is published.
+    pub view: watch::Sender<View>,
+    /// Rung by the node when a write showed that it leads no more.
+    pub doubt: Arc<Notify>,
+}
+
+enum Found {
+    Leader(KeyValue, LeadRecord),
+    Nobody { term: u64, term_stamp: u64 },
+}
+
+impl Leadership {
+    /// Runs until the process ends.
+    pub async fn run(self) {
+        let mut nonce: u64 = rand::rng().random();
+        loop {
+            match self.look().await {
+                Ok((Found::Leader(kv, record), epoch)) => {
+                    if record.label == self.label && record.nonce == nonce {
+                        // Our own transaction, whose answer was lost.
+                        if let Some(permit) = kv.permit {
+                            self.lead(&record, kv.stamp, permit, 0).await;
+                            nonce = rand::rng().random();
+                            continue;
+                        }
+                    }
+                    if record.label == self.label
+                        && let Some(permit) = kv.permit
+                    {
+                        // One process runs under this name at a time, so that leader is our own
+                        // earlier process, which is dead. Whatever it still has under way carries
+                        // its guard and fails.
+                        tracing::info!("ending the lease of this node's earlier process");
+                        if self.store.release(permit).await.is_err() {
+                            self.pause(constants::LEADER_RETRY_MS).await;
+                        }
+                        continue;
+                    }
+                    self.publish(Some(record.label), None);
+                    self.follow(epoch).await;
+                }
+                Ok((Found::Nobody { term, term_stamp }, _)) => {
+                    let jitter = rand::rng().random_range(0..=constants::ELECTION_JITTER_MS);
+                    self.pause(jitter).await;
+                    self.stand(nonce, term, term_stamp).await;
+                }
+                Err(e) => {
+                    tracing::debug!("leadership: {e}");
+                    self.pause(constants::LEADER_RETRY_MS).await;
+                }
+            }
+        }
+    }
+
+    async fn pause(&self, ms: u64) {
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+
+    fn publish(&self, leader: Option<String>, mandate: Option<Mandate>) {
+        let view = View { leader, mandate };
+        self.view.send_if_modified(|v| {
+            let changed = *v != view;
+            *v = view.clone();
+            changed
+        });
+    }
+
+    async fn look(&self) -> Result<(Found, u64), StoreError> {
+        let (pairs, epoch) = self.store.list(LEAD).await?;
+        let now = pairs.iter().find(|p| p.key == LEAD_NOW);
+        if let Some(kv) = now
+            && let Ok(record) = serde_json::from_value::<LeadRecord>(kv.v.clone())
+        {
+            let mut kv = kv.clone();
+            if kv.permit.is_none()
+                && record.label == self.label
+                && let Some(full) = self.store.get(LEAD_NOW).await?
+            {
+                kv = full;
+            }
+            return Ok((Found::Leader(kv, record), epoch));
+        }
+        let term = pairs.iter().find(|p| p.key == LEAD_TERM);
+        let found = Found::Nobody {
+            term: term.and_then(|t| t.v.as_u64()).unwrap_or(0),
+            term_stamp: term.map_or(0, |t| t.stamp),
+        };
+        Ok((found, epoch))
+    }
+
+    /// Waits until the leader's key goes.
+    async fn follow(&self, mut epoch: u64) {
+        loop {
+            match self.store.watch(LEAD, epoch, constants::WATCH_WAIT_MS).await {
+                Ok(answer) => {
+                    if answer.events.iter().any(|e| match e {
+                        Event::Delete { delete, .. } => delete == LEAD_NOW,
+                        Event::Put { put, .. } => put == LEAD_NOW,
+                    }) {
+                        return;
+                    }
+                    epoch = epoch.max(answer.epoch);
+                }
+                Err(e) => {
+                    tracing::debug!("leadership watch: {e}");
+                    self.pause(constants::WATCH_RETRY_MS).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn stand(&self, nonce: u64, term: u64, term_stamp: u64) {
+        let sent = self.clock.now();
+        let permit = match self.store.grant(constants::LEADER_TTL_MS).await {
+            Ok(permit) => permit,
+            Err(e) => {
+                tracing::debug!("no lease for leadership: {e}");
+                return self.pause(constants::LEADER_RETRY_MS).await;
+            }
+        };
+        let record = LeadRecord { label: self.label.clone(), term: term + 1, nonce };
+        let Ok(value) = serde_json::to_value(&record) else { return };
+        let transaction = Transaction {
+            guards: vec![
+                Guard { key: LEAD_NOW.into(), stamp: 0 },
+                Guard { key: LEAD_TERM.into(), stamp: term_stamp },
+            ],
+            apply: vec![
+                Change::Put { put: LEAD_NOW.into(), v: value, permit: Some(permit) },
+                Change::put(LEAD_TERM, serde_json::json!(term + 1)),
+            ],
+        };
+        match self.store.commit(&transaction).await {
+            Ok(CommitOutcome::Applied(epoch)) => {
+                let until = valid_until(sent, constants::LEADER_TTL_MS);
+                self.lead(&record, epoch, permit, until).await;
+            }
+            Ok(CommitOutcome::Refused(_)) => {
+                let _ = self.store.release(permit).await;
+            }
+            // Unclear: the next look tells, by the nonce, whether it was applied.
+            Err(e) => {
+                tracing::debug!("standing for leadership: {e}");
+                self.pause(constants::LEADER_RETRY_MS).await;
+            }
+        }
+    }
+
+    /// Leads until the lease is lost.
+    async fn lead(&self, record: &LeadRecord, stamp: u64, permit: u64, until: u64) {
+        tracing::info!("leading, term {}", record.term);
+        self.validity.set(until);
+        let guard = Guard { key: LEAD_NOW.into(), stamp };
+        let mandate = Mandate { term: record.term, guard, permit };
+        self.publish(Some(self.label.clone()), Some(mandate));
+        let mut pause = if until == 0 { 0 } else { constants::LEADER_EXTEND_EVERY_MS };
+        loop {
+            tokio::select! {
+                () = self.pause(pause) => {}
+                () = self.doubt.notified() => break,
+            }
+            let sent = self.clock.now();
+            match self.store.extend(permit).await {
+                Ok(()) => {
+                    self.validity.set(valid_until(sent, constants::LEADER_TTL_MS));
+                    pause = constants::LEADER_EXTEND_EVERY_MS;
+                }
+                Err(StoreError::NoLease) => break,
+                Err(e) => {
+                    tracing::debug!("extending the lease: {e}");
+                    pause = constants::LEADER_RETRY_MS;
+                }
+            }
+        }
+        self.validity.set(0);
+        tracing::info!("not leading any more");
+        self.publish(None, None);
+        let _ = self.store.release(permit).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_leader_counts_its_lease_from_before_the_request() {
+        let validity = Validity::default();
+        assert!(!validity.holds(0));
+        validity.set(valid_until(1_000, 5_000));
+        assert!(validity.holds(5_600));
+        assert!(!validity.holds(5_700), "drift and margin are taken off");
+    }
+}
--- /dev/null
+++ b/crates/controller/src/ledger/checkin.rs
@@ -0,0 +1,503 @@
+use super::{Ended, Held, Host, Job, Ledger, Phase, Slot, lease_over_ms};
+use hookway_constants as constants;
+use hookway_wire::{
+    Cause, CheckIn, CheckInAnswer, JobState, Order, PieceReport, PieceState, TaskId,
+};
+
+/// Most commands in one answer, so that its only line stays far below 64 KiB.
+const ORDERS_AT_MOST: usize = 400;
+
+/// How a task left its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Leave {
+    /// Its start was never sent, or surely did not arrive.
+    NotStarted,
+    /// It ended there.
+    Ended(Cause),
+    /// The machine, or the worker's session, is gone.
+    Lost,
+}
+
+impl Ledger {
+    /// A worker reports. `None`: not to be answered with a 200, because the report is old, or comes
+    /// from a session or machine that is surely over.
+    pub fn check_in(&mut self, report: &CheckIn, now: u64) -> Option<CheckInAnswer> {
+        let name = report.host.as_str();
+        if self.buried.contains(name) {
+            return None;
+        }
+        let stamp = (report.tenure, report.tick);
+        if !self.hosts.contains_key(name) {
+            tracing::info!("machine {name}: first report ({}, {})", report.flavor, report.yard);
+            self.hosts.insert(name.to_owned(), Host::new(now));
+        }
+        self.expire_if_silent(name, now);
+        let host = self.hosts.get_mut(name)?;
+        // Reports can arrive minutes late; only a newer one may change the picture. A session whose
+        // lease has surely run out can't be heard from again: such a report is late, whatever its
+        // number.
+        if stamp <= host.newest || report.tenure <= host.dead_tenure {
+            tracing::debug!("machine {name}: old report {stamp:?}, newest is {:?}", host.newest);
+            return None;
+        }
+        let new_session = host.heard && report.tenure > host.newest.0;
+        if !host.heard {
+            tracing::info!(
+                "machine {name}: up, {:.1} s old",
+                (now - host.born.min(now)) as f64 / 1e3
+            );
+        }
+        host.heard = true;
+        host.newest = stamp;
+        host.flavor.clone_from(&report.flavor);
+        host.yard.clone_from(&report.yard);
+        host.loaner = report.loaners;
+        host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
+        if !host.rostered {
+            self.writer.want_rostered(name);
+        }
+        self.unheard.remove(name);
+        if new_session {
+            tracing::info!("machine {name}: session {}, its tasks are gone", report.tenure);
+            self.clear_host(name, now, Leave::Lost);
+        }
+        self.take_report(name, report, now);
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.last_answer = now;
+        }
+        // As with the paper's heartbeats, room that a report shows free is filled in its answer.
+        if now >= self.last_round + constants::ROUND_AT_REPORT_MS {
+            self.round(now);
+        }
+        let orders = self.orders_for(name, now);
+        Some(CheckInAnswer { baton: self.term, orders })
+    }
+
+    /// Brings the picture of a machine in line with a newer report.
+    fn take_report(&mut self, name: &str, report: &CheckIn, now: u64) {
+        self.count_running(name, false);
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let before = std::mem::take(&mut host.held);
+        host.ended.clear();
+        let mut seen = vec![false; before.len()];
+        let mut keep: Vec<Held> = Vec::with_capacity(before.len());
+        let mut left: Vec<(Held, Leave)> = Vec::new();
+        let mut fresh: Vec<(TaskId, &PieceReport)> = Vec::new();
+        for piece in &report.pieces {
+            let Some(task) = TaskId::parse(&piece.piece) else {
+                tracing::error!("machine {name}: odd task id {:?}", piece.piece);
+                continue;
+            };
+            let found = before
+                .iter()
+                .position(|h| h.attempt == piece.r#try && h.piece == piece.piece)
+                .filter(|i| !std::mem::replace(&mut seen[*i], true));
+            let Some(found) = found else {
+                fresh.push((task, piece));
+                continue;
+            };
+            let mut held = before[found].clone();
+            if piece.status == PieceState::Ended {
+                let cause = piece.cause.unwrap_or(Cause::Other);
+                host.ended.push(Ended {
+                    job: held.job,
+                    piece: piece.piece.clone(),
+                    index: held.index,
+                    attempt: held.attempt,
+                    cause,
+                });
+                left.push((held, Leave::Ended(cause)));
+            } else {
+                held.phase = Phase::On(piece.status);
+                if piece.status == PieceState::Running && held.running_since.is_none() {
+                    held.running_since = Some(now);
+                }
+                keep.push(held);
+            }
+        }
+        for (i, mut held) in before.into_iter().enumerate() {
+            if seen[i] {
+                continue;
+            }
+            match held.phase {
+                Phase::Planned => keep.push(held),
+                // Commands travel in answers only, a worker has one report under way at a time and
+                // takes no answer to an earlier one: a newer report without the task proves that
+                // the command did not arrive and never will.
+                Phase::Sent => {
+                    held.phase = Phase::Planned;
+                    keep.push(held);
+                }
+                Phase::On(_) => left.push((held, Leave::Lost)),
+            }
+        }
+        host.held = keep;
+        for (held, leave) in left {
+            self.leave(name, &held, leave, now);
+        }
+        for (task, piece) in fresh {
+            self.found(name, &task, piece, now);
+        }
+        self.touch_images(name);
+        self.count_running(name, true);
+    }
+
+    /// The worker reports a task that this leader did not place there.
+    fn found(&mut self, name: &str, task: &TaskId, piece: &PieceReport, now: u64) {
+        let key = self.by_id.get(&task.job).copied();
+        let job = key.and_then(|k| self.jobs.get_mut(&k));
+        let job = job.filter(|j| task.index < j.spec.pieces);
+        let key = if job.is_some() { key } else { None };
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if piece.status == PieceState::Ended {
+            let cause = piece.cause.unwrap_or(Cause::Other);
+            host.ended.push(Ended {
+                job: key,
+                piece: piece.piece.clone(),
+                index: task.index,
+                attempt: piece.r#try,
+                cause,
+            });
+            if let (Some(key), Cause::Done) = (key, cause) {
+                self.complete(key, task.index, None);
+            }
+            return;
+        }
+        let mut held = Held {
+            job: key,
+            piece: piece.piece.clone(),
+            index: task.index,
+            attempt: piece.r#try,
+            phase: Phase::On(piece.status),
+            stray: true,
+            kill: None,
+            running_since: (piece.status == PieceState::Running).then_some(now),
+            since: now,
+        };
+        if let Some(job) = job {
+            let first = job.slots[task.index as usize] == Slot::Free && job.live();
+            let same_gang =
+                !job.spec.is_gang() || job.attempt.is_none_or(|attempt| attempt == piece.r#try);
+            if first && same_gang {
+                held.stray = false;
+                job.slots[task.index as usize] = Slot::Held;
+                job.free.remove(&task.index);
+                if job.spec.is_gang() {
+                    job.attempt = Some(piece.r#try);
+                }
+            }
+            if held.stray {
+                job.strays.push(task.index);
+                job.free.remove(&task.index);
+            }
+            job.held += 1;
+            if let Some(zone) = self.setup.params.zones.iter().position(|z| *z == host.yard) {
+                job.per_zone[zone] += 1;
+            }
+        }
+        tracing::info!(
+            "machine {name}: found {} attempt {}{}",
+            held.piece,
+            held.attempt,
+            if held.stray { ", which should not run" } else { "" }
+        );
+        host.held.push(held);
+    }
+
+    /// A task has left its place on a machine.
+    pub(super) fn leave(&mut self, name: &str, held: &Held, leave: Leave, now: u64) {
+        let yard = self.hosts.get(name).map(|h| h.yard.clone()).unwrap_or_default();
+        let Some(key) = held.job else { return };
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.held = job.held.saturating_sub(1);
+        if let Some(zone) = self.setup.params.zones.iter().position(|z| *z == yard) {
+            job.per_zone[zone] = job.per_zone[zone].saturating_sub(1);
+        }
+        let index = held.index;
+        if held.stray {
+            if let Some(i) = job.strays.iter().position(|s| *s == index) {
+                job.strays.swap_remove(i);
+            }
+        } else if job.slots[index as usize] == Slot::Held {
+            job.slots[index as usize] = Slot::Free;
+            if job.spec.is_gang() && leave != Leave::Ended(Cause::Done) {
+                job.broken = true;
+            }
+        }
+        // Free only when no machine has it in any attempt: a stray counts as much as the real one.
+        let elsewhere = job.strays.contains(&index);
+        if job.live() && job.slots[index as usize] == Slot::Free && !elsewhere {
+            job.free.insert(index);
+        }
+        match leave {
+            Leave::NotStarted => {}
+            Leave::Ended(cause) => {
+                tracing::info!("task {} attempt {} on {name}: {cause:?}", held.piece, held.attempt);
+                self.ended_with(name, key, held, cause, now);
+            }
+            Leave::Lost => {
+                tracing::info!("task {} attempt {} on {name}: lost", held.piece, held.attempt);
+                job.note(format!("task {index} was lost with its machine {name}"));
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&key) {
+            if job.held == 0 {
+                job.attempt = None;
+                job.broken = false;
+            }
+            job.waiting_since = now;
+        }
+        self.drop_if_gone(key);
+    }
+
+    fn ended_with(&mut self, name: &str, key: u64, held: &Held, cause: Cause, now: u64) {
+        if cause == Cause::Done {
+            self.complete(key, held.index, held.running_since.map(|s| now.saturating_sub(s)));
+            if let Some(host) = self.hosts.get_mut(name) {
+                host.errors = 0;
+                host.last_error = None;
+            }
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if !held.stray && job.over.is_none() {
+            job.note(format!("task {} {} (machine {name})", held.index, cause.plain()));
+        }
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        match cause {
+            Cause::Error => {
+                job.errors += 1;
+                let pause = constants::ERROR_PAUSE_MS << (job.errors - 1).min(10);
+                job.pause_until = now + pause.min(constants::ERROR_PAUSE_MAX_MS);
+                // A job with a mistake fails everywhere; a faulty machine fails every job. So only
+                // errors of different jobs in a row speak against the machine.
+                if host.last_error != Some(key) {
+                    host.errors += 1;
+                    host.last_error = Some(key);
+                }
+                if host.errors >= constants::FAULTY_AFTER_ERRORS {
+                    tracing::info!("machine {name}: faulty, to be returned");
+                    host.closing = Some("faulty");
+                } else {
+                    host.pause_until = now + constants::NO_ROOM_PAUSE_MS;
+                }
+            }
+            Cause::NoRoom | Cause::Busy => {
+                host.pause_until = now + constants::NO_ROOM_PAUSE_MS;
+            }
+            Cause::Unknown => job.pause_until = now + constants::ERROR_PAUSE_MS,
+            _ => {}
+        }
+    }
+
+    /// A task has completed. A gang completes together.
+    pub(super) fn complete(&mut self, key: u64, index: u32, took_ms: Option<u64>) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.over.is_some() {
+            return;
+        }
+        job.errors = 0;
+        let all = job.spec.is_gang();
+        let indexes = if all { 0..job.spec.pieces } else { index..index + 1 };
+        for i in indexes {
+            if job.slots[i as usize] == Slot::Done {
+                continue;
+            }
+            job.slots[i as usize] = Slot::Done;
+            job.free.remove(&i);
+            job.done += 1;
+            if i == index
+                && let Some(took) = took_ms
+            {
+                job.sum_ms += took;
+                job.timed += 1;
+            }
+            let chunk = Job::chunk_of(i);
+            if !job.chunks[chunk].dirty {
+                job.chunks[chunk].dirty = true;
+                self.writer.chunks.push_back((key, chunk));
+            }
+        }
+        if job.done == job.spec.pieces && job.ending.is_none() {
+            job.ending = Some(JobState::Done);
+            self.writer.finals.push_back(key);
+        }
+    }
+
+    /// Everything that was on a machine is gone.
+    pub(super) fn clear_host(&mut self, name: &str, now: u64, why: Leave) {
+        self.count_running(name, false);
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        host.images.clear();
+        host.ended.clear();
+        let held = std::mem::take(&mut host.held);
+        for h in held {
+            let leave = if h.phase == Phase::Planned { Leave::NotStarted } else { why };
+            self.leave(name, &h, leave, now);
+        }
+    }
+
+    /// A machine is proven gone.
+    pub(super) fn bury(&mut self, name: &str, now: u64) {
+        self.clear_host(name, now, Leave::Lost);
+        if let Some(host) = self.hosts.remove(name)
+            && (host.rostered || self.writer.rostering(name))
+        {
+            self.writer.want_unrostered(name);
+        }
+        self.unheard.remove(name);
+        self.blocks.forget(name);
+        self.deleting.remove(name);
+        self.buried.insert(name.to_owned());
+        tracing::info!("machine {name}: gone");
+    }
+
+    /// Whether a held task must be stopped, and with how much time to save.
+    fn must_stop(&self, held: &Held, now: u64) -> Option<f64> {
+        let Some(job) = held.job.and_then(|k| self.jobs.get(&k)) else { return Some(0.0) };
+        // Nobody has any use for what a withdrawn job's tasks do.
+        if held.stray || !job.live() || job.slots[held.index as usize] == Slot::Done {
+            return Some(0.0);
+        }
+        if let Some(kill) = held.kill {
+            let patience = (job.spec.snapshot_s * 1000.0) as u64 + constants::STOP_PATIENCE_MS;
+            let late = now.saturating_sub(kill.since) > patience;
+            return Some(if late { 0.0 } else { kill.wind_down_s });
+        }
+        (job.spec.is_gang() && (job.broken || job.attempt != Some(held.attempt))).then_some(0.0)
+    }
+
+    /// The commands for a machine, in answer to its newest report.
+    fn orders_for(&mut self, name: &str, now: u64) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let Some(host) = self.hosts.get(name) else { return orders };
+        for e in &host.ended {
+            // The result must be durable before the worker may forget it.
+            let job = e.job.and_then(|k| self.jobs.get(&k));
+            let needed = e.cause == Cause::Done
+                && job.is_some_and(|j| j.over.is_none() && !j.durable[e.index as usize]);
+            if !needed {
+                orders.push(Order::Reap { piece: e.piece.clone(), r#try: e.attempt });
+            }
+        }
+        let may_start = host.rostered && host.closing.is_none() && host.notice.is_none();
+        let waits_for_roster = !host.rostered && host.closing.is_none() && host.notice.is_none();
+        let mut held = host.held.clone();
+        let mut dropped = Vec::new();
+        for h in &mut held {
+            let stray_elsewhere =
+                h.job.and_then(|k| self.jobs.get(&k)).is_some_and(|j| j.strays.contains(&h.index));
+            match (h.phase, self.must_stop(h, now)) {
+                (Phase::Planned, None) if stray_elsewhere || !may_start && !waits_for_roster => {
+                    dropped.push((h.piece.clone(), h.attempt));
+                }
+                (Phase::Planned, Some(_)) => dropped.push((h.piece.clone(), h.attempt)),
+                (_, Some(wind_down_s)) => orders.push(Order::Kill {
+                    piece: h.piece.clone(),
+                    r#try: h.attempt,
+                    wind_down_s,
+                }),
+                (Phase::Planned, None) if may_start && orders.len() < ORDERS_AT_MOST => {
+                    tracing::info!("task {} attempt {}: start on {name}", h.piece, h.attempt);
+                    orders.push(Order::Run { piece: h.piece.clone(), r#try: h.attempt });
+                    h.phase = Phase::Sent;
+                }
+                _ => {}
+            }
+        }
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.held = held;
+        }
+        for (piece, attempt) in dropped {
+            self.unplan(name, &piece, attempt, now);
+        }
+        orders.truncate(ORDERS_AT_MOST * 2);
+        orders
+    }
+
+    /// Drops a start that was never sent.
+    pub(super) fn unplan(&mut self, name: &str, piece: &str, attempt: u64, now: u64) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let found = host
+            .held
+            .iter()
+            .position(|h| h.phase == Phase::Planned && h.attempt == attempt && h.piece == piece);
+        if let Some(i) = found {
+            let held = host.held.remove(i);
+            self.leave(name, &held, Leave::NotStarted, now);
+        }
+    }
+
+    fn touch_images(&mut self, name: &str) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let cache =
+            self.flavors.iter().find(|f| f.label == host.flavor).map_or(0.0, |f| f.local_gb);
+        let used: Vec<(u32, f64)> = host
+            .held
+            .iter()
+            .filter(|h| matches!(h.phase, Phase::On(_)))
+            .filter_map(|h| h.job.and_then(|k| self.jobs.get(&k)))
+            .map(|j| (j.image, j.spec.image_gb))
+            .collect();
+        for (image, gb) in used {
+            if host.images.last().is_none_or(|(i, _)| *i != image) {
+                host.touch_image(image, gb, cache);
+            }
+        }
+    }
+
+    /// Adds the running tasks of a machine to their jobs' counts for display, or takes them off.
+    fn count_running(&mut self, name: &str, add: bool) {
+        let Some(host) = self.hosts.get(name) else { return };
+        for held in &host.held {
+            let runs = matches!(held.phase, Phase::On(PieceState::Running | PieceState::Saving));
+            if runs && let Some(job) = held.job.and_then(|k| self.jobs.get_mut(&k)) {
+                job.running = if add { job.running + 1 } else { job.running.saturating_sub(1) };
+            }
+        }
+    }
+
+    /// Time passes: what is on machines whose lease has surely run out is gone, and starts that
+    /// wait for a silent machine are dropped.
+    pub fn pass_time(&mut self, now: u64) {
+        let quiet = (self.setup.params.workers.report_s * 2500.0) as u64;
+        let names: Vec<String> = self.hosts.keys().cloned().collect();
+        for name in names {
+            if self.expire_if_silent(&name, now) {
+                continue;
+            }
+            let Some(host) = self.hosts.get_mut(&name) else { continue };
+            if host.kept.is_some_and(|(_, until)| now >= until) {
+                host.kept = None;
+            }
+            if now >= host.last_answer + quiet {
+                let planned: Vec<(String, u64)> = host
+                    .held
+                    .iter()
+                    .filter(|h| h.phase == Phase::Planned)
+                    .map(|h| (h.piece.clone(), h.attempt))
+                    .collect();
+                for (piece, attempt) in planned {
+                    self.unplan(&name, &piece, attempt, now);
+                }
+            }
+        }
+    }
+
+    /// Whether the lease of a machine's worker has surely run out; then its tasks are gone, and
+    /// with them its session.
+    fn expire_if_silent(&mut self, name: &str, now: u64) -> bool {
+        let lease = lease_over_ms(&self.setup.params);
+        let Some(host) = self.hosts.get_mut(name) else { return false };
+        if now < host.last_answer + lease {
+            return false;
+        }
+        if host.heard && host.dead_tenure < host.newest.0 {
+            tracing::info!("machine {name}: silent, its lease is over");
+            host.dead_tenure = host.newest.0;
+            self.clear_host(name, now, Leave::Lost);
+        }
+        self.unheard.remove(name);
+        true
+    }
+}
--- /dev/null
+++ b/crates/controller/src/ledger/commit.rs
@@ -0,0 +1,418 @@
+use super::{Ledger, Slot};
+use crate::config::Params;
+use crate::records::{
+    FinalRecord, MinimumRecord, ProgressRecord, final_key, job_key, minimum_key, progress_key,
+    roster_key,
+};
+use hookway_constants as constants;
+use hookway_policy::needs_rewrite;
+use hookway_wire::{Change, Guard, JobId, JobState, KeyValue, Transaction};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+
+/// Bytes of values that one transaction may hold; the limit is 64 KiB in all.
+const TRANSACTION_BYTES: usize = 48 * 1024;
+
+/// Units that come back at a rate and may be saved up for a second.
+#[derive(Debug)]
+struct Bucket {
+    rate: f64,
+    units: f64,
+    at: u64,
+}
+
+impl Bucket {
+    fn new(rate: f64, now: u64) -> Self {
+        Self { rate, units: rate.max(2.0), at: now }
+    }
+
+    fn fill(&mut self, now: u64) -> f64 {
+        let filled = self.units + now.saturating_sub(self.at) as f64 / 1000.0 * self.rate;
+        self.units = filled.min(self.rate.max(2.0));
+        self.at = now;
+        self.units
+    }
+}
+
+/// What the leader has to write, and what it knows of its writes.
+#[derive(Debug)]
+pub(super) struct Writer {
+    pub lead: Guard,
+    pub finals: VecDeque<u64>,
+    pub chunks: VecDeque<(u64, usize)>,
+    roster: VecDeque<String>,
+    roster_wanted: HashSet<String>,
+    trash: VecDeque<String>,
+    minimums: BTreeMap<u64, MinimumRecord>,
+    bucket: Bucket,
+    minimum_bucket: Bucket,
+    busy: bool,
+    pause_until: u64,
+    deposed: bool,
+}
+
+impl Writer {
+    pub fn new(params: &Params, lead: Guard, now: u64) -> Self {
+        let rate = params.state.write_rps;
+        Self {
+            lead,
+            finals: VecDeque::new(),
+            chunks: VecDeque::new(),
+            roster: VecDeque::new(),
+            roster_wanted: HashSet::new(),
+            trash: VecDeque::new(),
+            minimums: BTreeMap::new(),
+            bucket: Bucket::new(rate * constants::LEADER_WRITE_SHARE, now),
+            minimum_bucket: Bucket::new(rate * constants::MINIMUM_WRITE_SHARE, now),
+            busy: false,
+            pause_until: 0,
+            deposed: false,
+        }
+    }
+
+    pub fn trash(&mut self, key: String) {
+        self.trash.push_back(key);
+    }
+
+    pub fn want_rostered(&mut self, host: &str) {
+        if self.roster_wanted.insert(host.to_owned()) {
+            self.roster.push_back(host.to_owned());
+        }
+    }
+
+    /// Whether an entry for this machine is waiting or under way.
+    pub fn rostering(&self, host: &str) -> bool {
+        self.roster_wanted.contains(host)
+    }
+
+    pub fn want_unrostered(&mut self, host: &str) {
+        self.roster.retain(|h| h != host);
+        self.roster_wanted.remove(host);
+        self.trash.push_back(roster_key(host));
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Item {
+    Final(u64, FinalRecord),
+    Chunk(u64, usize, ProgressRecord),
+    Roster(String),
+    Trash(String),
+    Minimum(u64, MinimumRecord),
+}
+
+/// A transaction with what it stands for.
+#[derive(Debug)]
+pub struct Commit {
+    /// The transaction.
+    pub transaction: Transaction,
+    items: Vec<Item>,
+}
+
+/// What became of it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CommitResult {
+    /// Applied at this revision.
+    Applied(u64),
+    /// Surely not carried out; to be tried again later.
+    NotDone,
+    /// Some condition failed, or nothing is known. These keys were read again since.
+    Unsure(Vec<Learned>),
+}
+
+/// A key that was read again.
+pub type Learned = (String, Option<KeyValue>);
+
+impl Commit {
+    /// The keys that must be read again when the outcome is not plain success.
+    pub fn keys(&self) -> Vec<String> {
+        self.transaction.guards.iter().map(|g| g.key.clone()).collect()
+    }
+}
+
+impl Ledger {
+    /// Whether some write showed that another node leads.
+    pub fn deposed(&self) -> bool {
+        self.writer.deposed
+    }
+
+    /// The next transaction, if something waits, the budget allows it and none is under way.
+    /// Ends of jobs go first, since users wait for them; hints for the next leader last.
+    pub fn next_commit(&mut self, now: u64) -> Option<Commit> {
+        if self.writer.busy || self.writer.deposed || now < self.writer.pause_until {
+            return None;
+        }
+        let tokens = self.writer.bucket.fill(now).floor() as usize;
+        let most = self.setup.params.state.txn_ops.min(tokens);
+        if most < 2 {
+            return None;
+        }
+        let mut commit = Commit {
+            transaction: Transaction { guards: vec![self.writer.lead.clone()], apply: vec![] },
+            items: vec![],
+        };
+        self.add_finals(&mut commit, most);
+        self.add_roster(&mut commit, most);
+        self.add_chunks(&mut commit, most);
+        while commit.transaction.apply.len() < most
+            && let Some(key) = self.writer.trash.pop_front()
+        {
+            commit.transaction.apply.push(Change::delete(key.clone()));
+            commit.items.push(Item::Trash(key));
+        }
+        self.add_minimums(&mut commit, most, now);
+        if commit.transaction.apply.is_empty() {
+            return None;
+        }
+        self.writer.bucket.units -= commit.transaction.apply.len() as f64;
+        self.writer.busy = true;
+        Some(commit)
+    }
+
+    fn add_finals(&mut self, commit: &mut Commit, most: usize) {
+        while commit.transaction.apply.len() + 2 <= most
+            && let Some(key) = self.writer.finals.pop_front()
+        {
+            let Some(job) = self.jobs.get_mut(&key) else { continue };
+            let Some(state) = job.ending.filter(|_| job.over.is_none()) else { continue };
+            job.deciding = true;
+            let record = FinalRecord {
+                state,
+                done: job.done,
+                owner: job.spec.owner.clone(),
+                notes: job.notes.iter().cloned().collect(),
+            };
+            let Ok(value) = serde_json::to_value(&record) else { continue };
+            let guard = Guard { key: final_key(&job.id), stamp: 0 };
+            commit.transaction.guards.push(guard);
+            commit.transaction.apply.push(Change::put(final_key(&job.id), value));
+            commit.transaction.apply.push(Change::delete(job_key(&job.id)));
+            commit.items.push(Item::Final(key, record));
+        }
+    }
+
+    fn add_roster(&mut self, commit: &mut Commit, most: usize) {
+        while commit.transaction.apply.len() < most
+            && let Some(host) = self.writer.roster.pop_front()
+        {
+            let value = serde_json::json!({ "term": self.term });
+            commit.transaction.apply.push(Change::put(roster_key(&host), value));
+            commit.items.push(Item::Roster(host));
+        }
+    }
+
+    fn add_chunks(&mut self, commit: &mut Commit, most: usize) {
+        let mut bytes = 0;
+        while commit.transaction.apply.len() < most
+            && bytes < TRANSACTION_BYTES
+            && let Some((key, chunk)) = self.writer.chunks.pop_front()
+        {
+            let Some(job) = self.jobs.get_mut(&key) else { continue };
+            // What is over, or about to be, needs no progress record.
+            if !job.live() {
+                job.chunks[chunk].dirty = false;
+                continue;
+            }
+            let record = ProgressRecord::new(&job.bits(chunk));
+            let Ok(value) = serde_json::to_value(&record) else { continue };
+            bytes += record.bits.len();
+            job.chunks[chunk].dirty = false;
+            let name = progress_key(&job.id, chunk);
+            let guard = Guard { key: name.clone(), stamp: job.chunks[chunk].stamp };
+            commit.transaction.guards.push(guard);
+            commit.transaction.apply.push(Change::put(name, value));
+            commit.items.push(Item::Chunk(key, chunk, record));
+        }
+    }
+
+    fn add_minimums(&mut self, commit: &mut Commit, most: usize, now: u64) {
+        while commit.transaction.apply.len() < most && self.writer.minimum_bucket.fill(now) >= 1.0 {
+            let Some((key, record)) = self.writer.minimums.pop_first() else { break };
+            let Some(job) = self.jobs.get(&key).filter(|j| j.live()) else { continue };
+            let Ok(value) = serde_json::to_value(&record) else { continue };
+            self.writer.minimum_bucket.units -= 1.0;
+            commit.transaction.apply.push(Change::put(minimum_key(&job.id), value));
+            commit.items.push(Item::Minimum(key, record));
+        }
+    }
+
+    /// A job's minimum is now this: kept for the next leader if it changed by a quarter.
+    pub(super) fn keep_minimum(&mut self, key: u64, least: u32) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        if needs_rewrite(job.written_minimum, least) {
+            let record = MinimumRecord { least, timed: job.timed, sum_ms: job.sum_ms };
+            self.writer.minimums.insert(key, record);
+        }
+    }
+
+    /// What became of the transaction under way.
+    pub fn committed(&mut self, commit: Commit, result: CommitResult, now: u64) {
+        self.writer.busy = false;
+        match result {
+            CommitResult::Applied(epoch) => {
+                for item in commit.items {
+                    self.applied(item, epoch);
+                }
+            }
+            CommitResult::NotDone => {
+                self.writer.pause_until = now + constants::LEADER_RETRY_MS;
+                for item in commit.items {
+                    if let Item::Final(key, _) = &item
+                        && let Some(job) = self.jobs.get_mut(key)
+                    {
+                        job.deciding = false;
+                    }
+                    self.again(item);
+                }
+            }
+            CommitResult::Unsure(learned) => {
+                let mut known = HashSet::new();
+                for (key, value) in learned {
+                    if key == self.writer.lead.key {
+                        let stamp = value.as_ref().map_or(0, |v| v.stamp);
+                        if stamp != self.writer.lead.stamp {
+                            tracing::info!("another node leads now, or none");
+                            self.writer.deposed = true;
+                        }
+                        continue;
+                    }
+                    self.learn(&key, value);
+                    known.insert(key);
+                }
+                for item in commit.items {
+                    self.again(item);
+                }
+            }
+        }
+    }
+
+    fn applied(&mut self, item: Item, epoch: u64) {
+        match item {
+            Item::Final(key, record) => self.decide(key, record),
+            Item::Chunk(key, chunk, record) => {
+                self.durable(key, chunk, epoch, &record);
+            }
+            Item::Roster(host) => {
+                self.writer.roster_wanted.remove(&host);
+                match self.hosts.get_mut(&host) {
+                    Some(h) => h.rostered = true,
+                    // Gone while the entry was under way.
+                    None => self.writer.trash.push_back(roster_key(&host)),
+                }
+            }
+            Item::Minimum(key, record) => {
+                if let Some(job) = self.jobs.get_mut(&key) {
+                    job.written_minimum = Some(record.least);
+                    if job.over.is_some() {
+                        let name = minimum_key(&job.id);
+                        self.writer.trash.push_back(name);
+                    }
+                }
+            }
+            Item::Trash(_) => {}
+        }
+    }
+
+    /// An item that may not have been written goes back to its queue.
+    fn again(&mut self, item: Item) {
+        match item {
+            Item::Final(key, _) => {
+                if self.jobs.get(&key).is_some_and(|j| j.over.is_none()) {
+                    self.writer.finals.push_front(key);
+                }
+            }
+            Item::Chunk(key, chunk, _) => self.queue_if_needed(key, chunk),
+            Item::Roster(host) => {
+                if self.writer.roster_wanted.contains(&host) {
+                    self.writer.roster.push_back(host);
+                }
+            }
+            Item::Trash(key) => self.writer.trash.push_back(key),
+            Item::Minimum(..) => {}
+        }
+    }
+
+    fn queue_if_needed(&mut self, key: u64, chunk: usize) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let from = chunk * constants::PROGRESS_CHUNK_TASKS as usize;
+        let missing =
+            job.bits(chunk).iter().enumerate().any(|(i, done)| *done && !job.durable[from + i]);
+        if missing && !job.chunks[chunk].dirty {
+            job.chunks[chunk].dirty = true;
+            self.writer.chunks.push_back((key, chunk));
+        }
+    }
+
+    /// A key was read again after an unclear or failed transaction.
+    fn learn(&mut self, key: &str, value: Option<KeyValue>) {
+        let mut parts = key.split('/');
+        let kind = parts.next().unwrap_or_default();
+        let job = parts.next().and_then(JobId::parse).and_then(|id| self.by_id.get(&id)).copied();
+        let Some(job) = job else { return };
+        match kind {
+            "f" => {
+                let record = value.and_then(|kv| serde_json::from_value::<FinalRecord>(kv.v).ok());
+                if let Some(record) = record {
+                    self.decide(job, record);
+                }
+            }
+            "p" => {
+                let Some(chunk) = parts.next().and_then(|c| c.parse().ok()) else { return };
+                let stamp = value.as_ref().map_or(0, |kv| kv.stamp);
+                let record =
+                    value.and_then(|kv| serde_json::from_value::<ProgressRecord>(kv.v).ok());
+                self.learn_progress(job, chunk, stamp, record.as_ref());
+            }
+            _ => {}
+        }
+    }
+
+    /// A progress record as it is in the store.
+    pub(super) fn learn_progress(
+        &mut self,
+        key: u64,
+        chunk: usize,
+        stamp: u64,
+        record: Option<&ProgressRecord>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if chunk >= job.chunks.len() {
+            return;
+        }
+        job.chunks[chunk].stamp = stamp;
+        if let Some(record) = record {
+            self.durable(key, chunk, stamp, record);
+        }
+        self.queue_if_needed(key, chunk);
+    }
+
+    fn durable(&mut self, key: u64, chunk: usize, stamp: u64, record: &ProgressRecord) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.chunks[chunk].stamp = stamp;
+        let from = chunk as u32 * constants::PROGRESS_CHUNK_TASKS;
+        for i in record.set() {
+            let index = from + i;
+            if index >= job.spec.pieces {
+                break;
+            }
+            job.durable[index as usize] = true;
+            if job.slots[index as usize] != Slot::Done {
+                job.slots[index as usize] = Slot::Done;
+                job.free.remove(&index);
+                job.done += 1;
+            }
+        }
+        if job.over.is_some() {
+            let name = progress_key(&job.id, chunk);
+            self.writer.trash.push_back(name);
+        }
+        self.finish_if_done(key);
+    }
+
+    fn finish_if_done(&mut self, key: u64) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.done == job.spec.pieces && job.ending.is_none() {
+            job.ending = Some(JobState::Done);
+            self.writer.finals.push_back(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/ledger/fleet.rs
@@ -0,0 +1,272 @@
+use super::checkin::Leave;
+use super::{Host, Ledger, lease_over_ms};
+use hookway_constants as constants;
+use hookway_policy::{HostView, Offer, Room, plan_fleet};
+use hookway_wire::{HostState, ListedHost, RentRequest};
+
+/// Something to ask of the cloud.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FleetAction {
+    /// Rent; the answer goes to [`Ledger::rented`].
+    Rent(RentRequest),
+    /// Delete; once the cloud has confirmed, [`Ledger::deleted`].
+    Delete(Vec<String>),
+}
+
+/// A rental under way.
+#[derive(Debug, Clone)]
+pub(super) struct Renting {
+    hire: String,
+    flavor: usize,
+    yard: usize,
+    loaner: bool,
+    count: u32,
+}
+
+impl Ledger {
+    fn offers(&self, now: u64) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        for (f, flavor) in self.flavors.iter().enumerate() {
+            for yard in &flavor.yards {
+                let Some(yard) = self.setup.params.zones.iter().position(|z| z == yard) else {
+                    continue;
+                };
+                for loaner in [false, true] {
+                    let price = if loaner { flavor.market_price } else { Some(flavor.hourly) };
+                    let sold_out =
+                        self.sold_out.get(&(f, yard, loaner)).is_some_and(|until| now < *until);
+                    if let Some(price) = price.filter(|_| !sold_out) {
+                        offers.push(Offer { flavor: f, yard, loaner, price });
+                    }
+                }
+            }
+        }
+        offers
+    }
+
+    /// One fleet round: rents what wanted work has no room on, returns what is idle, faulty, never
+    /// came up or fell silent.
+    pub fn fleet_round(&mut self, now: u64) -> Vec<FleetAction> {
+        if self.flavors.is_empty() {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        let mut scene = self.scene(now);
+        let mut needed = vec![false; scene.hosts.len()];
+        // Jobs whose whereabouts are not settled yet still want the room they had.
+        let known = scene.world.hosts.len();
+        for r in &self.renting {
+            let total = Room::of_flavor(&self.flavors[r.flavor]);
+            for _ in 0..r.count {
+                scene.world.hosts.push(HostView {
+                    flavor: r.flavor,
+                    yard: r.yard,
+                    loaner: r.loaner,
+                    total,
+                    free: total,
+                    images: vec![],
+                    open: false,
+                    booting: true,
+                    kept_for: None,
+                    held: vec![],
+                });
+            }
+        }
+        let offers = self.offers(now);
+        let plan = plan_fleet(&scene.world, &offers);
+        needed.copy_from_slice(&plan.needed[..known]);
+        let room = self
+            .setup
+            .operator
+            .most_machines
+            .saturating_sub(scene.world.hosts.len().max(self.hosts.len()));
+        if now >= self.fleet_after {
+            let mut left = u32::try_from(room).unwrap_or(u32::MAX);
+            for rent in plan.rent {
+                let count = rent.count.min(constants::RENT_AT_MOST).min(left);
+                if count == 0 {
+                    continue;
+                }
+                left -= count;
+                let offer = &offers[rent.offer];
+                self.next_hire += 1;
+                // Never used again, by no node: the term leads the name.
+                let hire = format!("h-{}-{}", self.term, self.next_hire);
+                let request = RentRequest {
+                    hire: hire.clone(),
+                    flavor: self.flavors[offer.flavor].label.clone(),
+                    yard: self.setup.params.zones[offer.yard].clone(),
+                    loaners: offer.loaner,
+                    how_many: count,
+                };
+                tracing::info!(
+                    "rental {hire}: {count} x {} in {}{}",
+                    request.flavor,
+                    request.yard,
+                    if offer.loaner { ", spot" } else { "" }
+                );
+                self.renting.push(Renting {
+                    hire,
+                    flavor: offer.flavor,
+                    yard: offer.yard,
+                    loaner: offer.loaner,
+                    count,
+                });
+                actions.push(FleetAction::Rent(request));
+            }
+        }
+        let mut doomed = self.doomed(now, &scene.hosts, &needed);
+        doomed.truncate(constants::DELETE_AT_MOST);
+        if !doomed.is_empty() {
+            for name in &doomed {
+                self.deleting.insert(name.clone());
+            }
+            actions.push(FleetAction::Delete(doomed));
+        }
+        actions
+    }
+
+    /// Machines to delete now.
+    fn doomed(&mut self, now: u64, names: &[String], needed: &[bool]) -> Vec<String> {
+        let lease = lease_over_ms(&self.setup.params);
+        let settled = self.settled(now);
+        let idle_return = self.setup.operator.idle_return_ms;
+        let mut doomed = Vec::new();
+        for (name, host) in &mut self.hosts {
+            let needed = names.iter().position(|n| n == name).is_some_and(|i| needed[i]);
+            if !host.held.is_empty() || !host.ended.is_empty() {
+                host.idle_since = None;
+            } else if host.heard && host.idle_since.is_none() {
+                host.idle_since = Some(now);
+            }
+            if self.deleting.contains(name) {
+                continue;
+            }
+            let idle = host.idle_since.map_or(0, |s| now.saturating_sub(s));
+            if host.closing.is_none() && host.heard && settled && !needed && idle >= idle_return {
+                host.closing = Some("idle");
+            }
+            // Silence while this node could not answer is not the machine's.
+            let quiet_since = host.last_answer.max(self.resumed_at);
+            if host.heard && now >= quiet_since + lease + constants::SILENT_RETURN_MS {
+                host.closing = Some("silent");
+            }
+            let ready_ms = self
+                .flavors
+                .iter()
+                .find(|f| f.label == host.flavor)
+                .map_or(60_000.0, |f| f.ready_s * 1000.0);
+            let patience =
+                (ready_ms * constants::BOOT_GIVE_UP_FACTOR) as u64 + constants::BOOT_GIVE_UP_MS;
+            let never_up =
+                !host.heard && now >= host.born + patience && now >= self.resumed_at + lease;
+            if never_up {
+                host.closing = Some("never came up");
+            }
+            let empty = host.held.is_empty() && host.ended.is_empty();
+            let taken = host.notice.is_some() && host.heard;
+            if (host.closing.is_some() || taken) && empty {
+                tracing::info!(
+                    "machine {name}: returning it ({})",
+                    host.closing.unwrap_or("the cloud wants it back")
+                );
+                doomed.push(name.clone());
+            }
+        }
+        doomed
+    }
+
+    /// The cloud answered a rental. `None`: no capacity.
+    pub fn rented(&mut self, request: &RentRequest, hosts: Option<Vec<String>>, now: u64) {
+        let Some(i) = self.renting.iter().position(|r| r.hire == request.hire) else { return };
+        let renting = self.renting.swap_remove(i);
+        let got = hosts.as_ref().map_or(0, Vec::len);
+        tracing::info!("rental {}: {got} of {}", renting.hire, renting.count);
+        if got < renting.count as usize {
+            let offer = (renting.flavor, renting.yard, renting.loaner);
+            self.sold_out.insert(offer, now + constants::SOLD_OUT_MS);
+        }
+        for name in hosts.unwrap_or_default() {
+            if self.buried.contains(&name) {
+                continue;
+            }
+            self.writer.want_rostered(&name);
+            let host = self.hosts.entry(name).or_insert_with(|| Host::new(now));
+            if !host.heard {
+                host.flavor.clone_from(&request.flavor);
+                host.yard.clone_from(&request.yard);
+                host.loaner = request.loaners;
+            }
+        }
+    }
+
+    /// The cloud confirmed a deletion: the machines and all that was on them are gone.
+    pub fn deleted(&mut self, names: &[String], now: u64) {
+        for name in names {
+            self.bury(name, now);
+        }
+    }
+
+    /// A deletion failed or its outcome is unknown: it is asked for again.
+    pub fn delete_failed(&mut self, names: &[String]) {
+        for name in names {
+            self.deleting.remove(name);
+        }
+    }
+
+    /// The machine list, asked for at `asked`.
+    pub fn listed(&mut self, list: &[ListedHost], asked: u64, now: u64) {
+        for entry in list {
+            let name = &entry.name_id;
+            if self.buried.contains(name) {
+                continue;
+            }
+            let age_ms = (entry.age_s.max(0.0) * 1000.0) as u64;
+            if !self.hosts.contains_key(name) {
+                if entry.status == HostState::Failed {
+                    // Nothing runs there, but it stays listed until it is deleted.
+                    let mut host = Host::new(now);
+                    host.closing = Some("failed");
+                    self.hosts.insert(name.clone(), host);
+                    continue;
+                }
+                tracing::info!("machine {name}: found in the list, {:.0} s old", entry.age_s);
+                let mut host = Host::new(now);
+                host.born = now.saturating_sub(age_ms);
+                self.hosts.insert(name.clone(), host);
+                self.writer.want_rostered(name);
+            }
+            let Some(host) = self.hosts.get_mut(name) else { continue };
+            if !host.heard {
+                host.flavor.clone_from(&entry.flavor);
+                host.yard.clone_from(&entry.yard);
+                host.loaner = entry.loaners;
+                host.born = host.born.min(now.saturating_sub(age_ms));
+            }
+            host.first_listed.get_or_insert(now);
+            if entry.status == HostState::Failed && host.closing != Some("failed") {
+                tracing::info!("machine {name}: failed");
+                host.closing = Some("failed");
+                host.dead_tenure = u64::MAX;
+                self.clear_host(name, now, Leave::Lost);
+                self.unheard.remove(name);
+            }
+        }
+        // Once listed, a machine stays listed until it is gone; but a list may be older than the
+        // one before, by up to twice the lag.
+        let lag = (self.setup.params.cloud.list_lag_s * 1000.0 * constants::UNLISTED_LAGS) as u64;
+        let gone: Vec<String> = self
+            .hosts
+            .iter()
+            .filter(|(name, host)| {
+                host.first_listed.is_some_and(|f| asked > f + lag)
+                    && !list.iter().any(|e| e.name_id == **name)
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            tracing::info!("machine {name}: not listed any more");
+            self.bury(&name, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/ledger/mod.rs
@@ -0,0 +1,359 @@
+//! The leader's picture of jobs, machines and what is where, and every decision that follows from it.
+//!
+//! No I/O and no clock: the caller says what happened and when (milliseconds on its steady clock),
+//! and carries out what comes back.
+
+mod checkin;
+mod commit;
+mod fleet;
+mod model;
+mod schedule;
+
+pub use commit::{Commit, CommitResult, Learned};
+pub use fleet::FleetAction;
+pub use model::{Ended, Held, Host, Job, Kill, Phase, Slot};
+
+use crate::blocks::Blocks;
+use crate::config::{OperatorSettings, Params};
+use crate::records::{FinalRecord, JobRecord, MinimumRecord, ProgressRecord};
+use commit::Writer;
+use hookway_constants as constants;
+use hookway_wire::{Flavor, Guard, JobId, JobState, JobStatus, KeyValue};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// What does not change while a node leads.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// This node's name.
+    pub label: String,
+    /// The platform's settings.
+    pub params: Params,
+    /// The operators' settings.
+    pub operator: OperatorSettings,
+}
+
+/// What a new leader read from the state service.
+#[derive(Debug, Clone, Default)]
+pub struct Loaded {
+    /// `j/`.
+    pub jobs: Vec<KeyValue>,
+    /// `p/`.
+    pub progress: Vec<KeyValue>,
+    /// `m/`.
+    pub minimums: Vec<KeyValue>,
+    /// `r/`.
+    pub roster: Vec<KeyValue>,
+}
+
+/// Two readings of the same moment: the steady clock and the time of day, both in ms.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moment {
+    /// Steady clock.
+    pub now: u64,
+    /// Time of day.
+    pub wall: u64,
+}
+
+/// What the leader knows of a job that a user asks about.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Lookup {
+    /// Its state.
+    Known(JobStatus),
+    /// Its end is being written down: the state service must be asked.
+    Deciding,
+    /// Not in this picture: over, not yet seen, or never accepted.
+    NotHere,
+}
+
+/// What became of a request to withdraw.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Withdrawal {
+    /// It is over already.
+    Over(JobStatus),
+    /// The decision is being written down; it comes with [`Ledger::take_decided`].
+    Pending,
+    /// Not in this picture.
+    NotHere,
+}
+
+/// The leader's ledger.
+#[derive(Debug)]
+pub struct Ledger {
+    setup: Setup,
+    term: u64,
+    next_try: u64,
+    next_hire: u64,
+    next_job: u64,
+    flavors: Vec<Flavor>,
+    images: HashMap<String, u32>,
+    jobs: BTreeMap<u64, Job>,
+    by_id: HashMap<JobId, u64>,
+    /// Jobs that ended in this term: a late event must not bring them back.
+    ended: HashSet<JobId>,
+    hosts: BTreeMap<String, Host>,
+    /// Machines that this leader knows to be gone: late reports must not bring them back.
+    buried: HashSet<String>,
+    blocks: Blocks,
+    /// Machines of the roster that have not reported to this leader yet.
+    unheard: HashSet<String>,
+    /// When the leases of those are surely over.
+    unheard_until: u64,
+    /// When this leader could last not answer workers; silence before that is not the workers'.
+    resumed_at: u64,
+    writer: Writer,
+    decided: Vec<(JobId, FinalRecord)>,
+    sold_out: HashMap<(usize, usize, bool), u64>,
+    renting: Vec<fleet::Renting>,
+    deleting: HashSet<String>,
+    fleet_after: u64,
+    last_round: u64,
+}
+
+impl Ledger {
+    /// The ledger of a new leader. `at` must be read after the leadership was won.
+    pub fn new(
+        setup: Setup,
+        term: u64,
+        lead: Guard,
+        flavors: Vec<Flavor>,
+        loaded: Loaded,
+        at: Moment,
+    ) -> Self {
+        let writer = Writer::new(&setup.params, lead, at.now);
+        let lease_ms = lease_over_ms(&setup.params);
+        let mut ledger = Self {
+            setup,
+            term,
+            next_try: 0,
+            next_hire: 0,
+            next_job: 0,
+            flavors,
+            images: HashMap::new(),
+            jobs: BTreeMap::new(),
+            by_id: HashMap::new(),
+            ended: HashSet::new(),
+            hosts: BTreeMap::new(),
+            buried: HashSet::new(),
+            blocks: Blocks::default(),
+            unheard: HashSet::new(),
+            unheard_until: at.now + lease_ms,
+            resumed_at: at.now,
+            writer,
+            decided: Vec::new(),
+            sold_out: HashMap::new(),
+            renting: Vec::new(),
+            deleting: HashSet::new(),
+            fleet_after: 0,
+            last_round: 0,
+        };
+        ledger.load(loaded, at);
+        ledger
+    }
+
+    fn load(&mut self, loaded: Loaded, at: Moment) {
+        for kv in loaded.jobs {
+            self.job_seen(&kv.key, kv.v, at, true);
+        }
+        for kv in loaded.progress {
+            let found = kv.key.split('/').collect::<Vec<_>>();
+            let place = match found.as_slice() {
+                [_, id, chunk] => JobId::parse(id)
+                    .and_then(|id| self.by_id.get(&id).copied())
+                    .zip(chunk.parse::<usize>().ok()),
+                _ => None,
+            };
+            match (place, serde_json::from_value::<ProgressRecord>(kv.v)) {
+                (Some((job, chunk)), Ok(record)) => {
+                    self.learn_progress(job, chunk, kv.stamp, Some(&record));
+                }
+                _ => self.writer.trash(kv.key),
+            }
+        }
+        for kv in loaded.minimums {
+            let id = kv.key.rsplit('/').next().and_then(JobId::parse);
+            let job = id.and_then(|id| self.by_id.get(&id)).and_then(|k| self.jobs.get_mut(k));
+            match (job, serde_json::from_value::<MinimumRecord>(kv.v)) {
+                (Some(job), Ok(record)) => {
+                    job.written_minimum = Some(record.least);
+                    job.timed = record.timed;
+                    job.sum_ms = record.sum_ms;
+                }
+                _ => self.writer.trash(kv.key),
+            }
+        }
+        for kv in loaded.roster {
+            let Some(name) = kv.key.strip_prefix(crate::records::ROSTER) else { continue };
+            let mut host = Host::new(at.now);
+            host.rostered = true;
+            self.hosts.insert(name.to_owned(), host);
+            self.unheard.insert(name.to_owned());
+        }
+    }
+
+    /// The term, which is the token as well.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Takes in the machine types.
+    pub fn set_flavors(&mut self, flavors: Vec<Flavor>) {
+        self.flavors = flavors;
+    }
+
+    /// Whether everything that an earlier leader may have started is accounted for: each machine of
+    /// the roster has reported, is gone, or its lease has surely run out.
+    pub fn settled(&self, now: u64) -> bool {
+        self.unheard.is_empty() || now >= self.unheard_until
+    }
+
+    /// Takes in an accepted job, from a watch or a reading of the store. `inherited` says that an
+    /// earlier leader may have started some of it.
+    pub fn job_seen(&mut self, key: &str, value: serde_json::Value, at: Moment, inherited: bool) {
+        let Some(id) = key.strip_prefix(crate::records::JOBS).and_then(JobId::parse) else {
+            return;
+        };
+        if self.by_id.contains_key(&id) || self.ended.contains(&id) {
+            return;
+        }
+        let record: JobRecord = match serde_json::from_value(value) {
+            Ok(record) => record,
+            Err(e) => {
+                tracing::error!("job {id}: its record can't be read: {e}");
+                return;
+            }
+        };
+        let image = self.image(&record.spec.bundle);
+        let team =
+            self.setup.params.teams.iter().position(|t| t.name == record.spec.owner).unwrap_or(0);
+        let zones = self.setup.params.zones.len();
+        self.next_job += 1;
+        let key = self.next_job;
+        let due = self.due_of(&record);
+        tracing::info!(
+            "job {id}: seen ({:?}, {} tasks, lane {})",
+            record.spec.shape,
+            record.spec.pieces,
+            record.spec.lane
+        );
+        let job = Job::new(record, due, team, image, zones, inherited, at);
+        self.by_id.insert(id, key);
+        self.jobs.insert(key, job);
+    }
+
+    /// A job's own deadline, or what the aims promise its class.
+    fn due_of(&self, record: &JobRecord) -> Option<f64> {
+        record.spec.due_s.or_else(|| {
+            self.setup
+                .params
+                .objectives
+                .iter()
+                .filter(|o| o.class.as_deref() == Some(&record.spec.lane))
+                .filter(|o| o.kind == "finished")
+                .find_map(|o| o.within_s)
+        })
+    }
+
+    fn image(&mut self, bundle: &str) -> u32 {
+        let next = self.images.len() as u32;
+        *self.images.entry(bundle.to_owned()).or_insert(next)
+    }
+
+    /// What the leader can say of a job.
+    pub fn status(&self, id: &JobId) -> Lookup {
+        let Some(job) = self.by_id.get(id).and_then(|k| self.jobs.get(k)) else {
+            return Lookup::NotHere;
+        };
+        match &job.over {
+            Some(record) => Lookup::Known(record.status(id)),
+            None if job.deciding => Lookup::Deciding,
+            None => Lookup::Known(self.describe(job)),
+        }
+    }
+
+    fn describe(&self, job: &Job) -> JobStatus {
+        JobStatus {
+            name_id: job.id.clone(),
+            status: if job.running > 0 { JobState::Running } else { JobState::Queued },
+            done: job.done,
+            running: job.running,
+            owner: Some(job.spec.owner.clone()),
+            commander: Some(self.setup.label.clone()),
+            notes: job.notes.iter().cloned().collect(),
+        }
+    }
+
+    /// A user withdraws a job. Nothing of it is started from here on, even before the decision is
+    /// durable.
+    pub fn withdraw(&mut self, id: &JobId) -> Withdrawal {
+        let Some(key) = self.by_id.get(id).copied() else { return Withdrawal::NotHere };
+        let Some(job) = self.jobs.get_mut(&key) else { return Withdrawal::NotHere };
+        if let Some(record) = &job.over {
+            return Withdrawal::Over(record.status(id));
+        }
+        if job.ending.is_none() {
+            tracing::info!("job {id}: its user withdraws it");
+            job.ending = Some(JobState::Withdrawn);
+            self.writer.finals.push_back(key);
+        }
+        Withdrawal::Pending
+    }
+
+    /// Jobs whose end has become durable since the last call.
+    pub fn take_decided(&mut self) -> Vec<(JobId, FinalRecord)> {
+        std::mem::take(&mut self.decided)
+    }
+
+    /// The end of a job is durable.
+    fn decide(&mut self, key: u64, record: FinalRecord) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.over.is_some() {
+            return;
+        }
+        tracing::info!("job {}: {:?}", job.id, record.state);
+        job.over = Some(record.clone());
+        job.ending = Some(record.state);
+        job.deciding = false;
+        job.free.clear();
+        for chunk in 0..job.chunks.len() {
+            if job.chunks[chunk].stamp != 0 {
+                self.writer.trash(crate::records::progress_key(&job.id, chunk));
+            }
+        }
+        if job.written_minimum.is_some() {
+            self.writer.trash(crate::records::minimum_key(&job.id));
+        }
+        self.ended.insert(job.id.clone());
+        self.decided.push((job.id.clone(), record));
+        self.drop_if_gone(key);
+    }
+
+    /// Forgets a job that is over and has nothing left on any machine.
+    fn drop_if_gone(&mut self, key: u64) {
+        let gone = self.jobs.get(&key).is_some_and(|j| j.over.is_some() && j.held == 0);
+        if gone && let Some(job) = self.jobs.remove(&key) {
+            self.by_id.remove(&job.id);
+        }
+    }
+
+    /// The node could not act as leader for a while (its lease was in doubt) and can again.
+    pub fn resumed(&mut self, now: u64) {
+        self.resumed_at = now;
+    }
+
+    /// Unfinished jobs, machines, and tasks that hold a place: for the log.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        (self.jobs.len(), self.hosts.len(), self.hosts.values().map(|h| h.held.len()).sum())
+    }
+
+    /// The guard that every durable write carries.
+    pub fn lead_guard(&self) -> &Guard {
+        &self.writer.lead
+    }
+}
+
+/// A worker's lease with drift and margin, ms: this long after the last moment when anyone entitled
+/// could have answered it, it has killed its tasks.
+pub fn lease_over_ms(params: &Params) -> u64 {
+    (params.workers.lease_s * 1000.0 * (1.0 + constants::CLOCK_DRIFT)).ceil() as u64
+        + constants::WORKER_LEASE_MARGIN_MS
+}
--- /dev/null
+++ b/crates/controller/src/ledger/model.rs
@@ -0,0 +1,315 @@
+use super::Moment;
+use crate::records::{FinalRecord, JobRecord};
+use hookway_constants as constants;
+use hookway_policy::Room;
+use hookway_wire::{Cause, JobId, JobSpec, JobState, PieceState};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Where a task stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Slot {
+    /// On no machine.
+    Free,
+    /// On some machine, or on its way there, or possibly there.
+    Held,
+    /// Completed.
+    Done,
+}
+
+/// A progress record.
+#[derive(Debug, Clone, Default)]
+pub struct Chunk {
+    /// Its version in the store; 0 if there is none.
+    pub stamp: u64,
+    /// Has results that are not durable.
+    pub dirty: bool,
+}
+
+/// A job that is not over, or not yet off all machines.
+#[derive(Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: JobId,
+    /// What its user submitted.
+    pub spec: JobSpec,
+    /// Index of its team.
+    pub team: usize,
+    /// Number that stands for its image.
+    pub image: u32,
+    /// What a task takes.
+    pub need: Room,
+    /// When it was submitted, s on the steady clock (may lie before the clock's start).
+    pub submitted: f64,
+    /// When it should be complete, likewise.
+    pub due: Option<f64>,
+    /// An earlier leader may have started some of it.
+    pub inherited: bool,
+    /// Per task.
+    pub slots: Vec<Slot>,
+    /// Tasks that are `Free`.
+    pub free: BTreeSet<u32>,
+    /// Tasks that a machine has although it should not, one entry each.
+    pub strays: Vec<u32>,
+    /// Completed tasks.
+    pub done: u32,
+    /// Per task: the completion is in the store.
+    pub durable: Vec<bool>,
+    /// Progress records.
+    pub chunks: Vec<Chunk>,
+    /// Tasks that hold a place.
+    pub held: u32,
+    /// Tasks that run, for display.
+    pub running: u32,
+    /// Tasks that hold a place, per zone.
+    pub per_zone: Vec<u32>,
+    /// Sum of known run times, ms.
+    pub sum_ms: u64,
+    /// Number of known run times.
+    pub timed: u32,
+    /// Attempt number that a gang's tasks share.
+    pub attempt: Option<u64>,
+    /// The gang's attempt has lost a task or is being stopped: all of it must go.
+    pub broken: bool,
+    /// What it is to end as, once that is durable.
+    pub ending: Option<JobState>,
+    /// The end is being written, or whether it was written is not known.
+    pub deciding: bool,
+    /// It is over, and that is durable.
+    pub over: Option<FinalRecord>,
+    /// No start before this time, ms.
+    pub pause_until: u64,
+    /// Errors in a row.
+    pub errors: u32,
+    /// Why attempts ended.
+    pub notes: VecDeque<String>,
+    /// Since when it has been waiting for room, ms.
+    pub waiting_since: u64,
+    /// Minimum in the store.
+    pub written_minimum: Option<u32>,
+}
+
+impl Job {
+    /// A job as it was accepted.
+    pub fn new(
+        record: JobRecord,
+        due_s: Option<f64>,
+        team: usize,
+        image: u32,
+        zones: usize,
+        inherited: bool,
+        at: Moment,
+    ) -> Self {
+        let spec = record.spec;
+        let age = (at.wall as f64 - record.at_ms as f64).max(0.0) / 1000.0;
+        let submitted = at.now as f64 / 1000.0 - age;
+        let pieces = spec.pieces as usize;
+        let chunks = pieces.div_ceil(constants::PROGRESS_CHUNK_TASKS as usize);
+        Self {
+            id: spec.name_id.clone(),
+            team,
+            image,
+            need: Room::of_task(&spec),
+            submitted,
+            due: due_s.map(|d| submitted + d),
+            inherited,
+            slots: vec![Slot::Free; pieces],
+            free: (0..spec.pieces).collect(),
+            strays: Vec::new(),
+            done: 0,
+            durable: vec![false; pieces],
+            chunks: vec![Chunk::default(); chunks],
+            held: 0,
+            running: 0,
+            per_zone: vec![0; zones],
+            sum_ms: 0,
+            timed: 0,
+            attempt: None,
+            broken: false,
+            ending: None,
+            deciding: false,
+            over: None,
+            pause_until: 0,
+            errors: 0,
+            notes: VecDeque::new(),
+            waiting_since: at.now,
+            written_minimum: None,
+            spec,
+        }
+    }
+
+    /// Tasks that are not completed.
+    pub fn unfinished(&self) -> u32 {
+        self.spec.pieces - self.done
+    }
+
+    /// The chunk that a task's result goes to.
+    pub fn chunk_of(index: u32) -> usize {
+        (index / constants::PROGRESS_CHUNK_TASKS) as usize
+    }
+
+    /// The results of a chunk, as they are in memory.
+    pub fn bits(&self, chunk: usize) -> Vec<bool> {
+        let size = constants::PROGRESS_CHUNK_TASKS as usize;
+        let from = chunk * size;
+        let to = (from + size).min(self.slots.len());
+        self.slots[from..to].iter().map(|s| *s == Slot::Done).collect()
+    }
+
+    /// Keeps a reason for the user.
+    pub fn note(&mut self, text: String) {
+        if self.notes.back() == Some(&text) {
+            return;
+        }
+        if self.notes.len() >= constants::NOTES_KEPT {
+            self.notes.pop_front();
+        }
+        self.notes.push_back(text);
+    }
+
+    /// Whether tasks of it may be started at all.
+    pub fn live(&self) -> bool {
+        self.ending.is_none() && self.over.is_none()
+    }
+}
+
+/// How far a start has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided, but in no answer yet: it can be dropped freely.
+    Planned,
+    /// The command went out in the answer to the worker's last report. The next report tells whether
+    /// it arrived.
+    Sent,
+    /// The worker has it.
+    On(PieceState),
+}
+
+/// A stop that was decided.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Kill {
+    /// Time to save, s.
+    pub wind_down_s: f64,
+    /// When it was decided, ms.
+    pub since: u64,
+}
+
+/// A task that holds a place on a machine.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// The job; `None` if it is not in the ledger (over, most likely).
+    pub job: Option<u64>,
+    /// The task, as the protocol writes it.
+    pub piece: String,
+    /// Its number in the job.
+    pub index: u32,
+    /// The attempt.
+    pub attempt: u64,
+    /// How far it has come.
+    pub phase: Phase,
+    /// Should not be there: stopped on sight.
+    pub stray: bool,
+    /// A stop.
+    pub kill: Option<Kill>,
+    /// When it was first seen running, ms.
+    pub running_since: Option<u64>,
+    /// When its place was taken, ms.
+    pub since: u64,
+}
+
+/// An ended task that the worker still reports.
+#[derive(Debug, Clone)]
+pub struct Ended {
+    /// The job, if it is in the ledger.
+    pub job: Option<u64>,
+    /// The task.
+    pub piece: String,
+    /// Its number.
+    pub index: u32,
+    /// The attempt.
+    pub attempt: u64,
+    /// Why it ended.
+    pub cause: Cause,
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Host {
+    /// Machine type; empty until known.
+    pub flavor: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot machine.
+    pub loaner: bool,
+    /// Its worker has reported to this leader.
+    pub heard: bool,
+    /// Newest message: session and sequence number.
+    pub newest: (u64, u64),
+    /// Sessions up to this one are surely over.
+    pub dead_tenure: u64,
+    /// Last time when anyone entitled could have answered its worker, ms.
+    pub last_answer: u64,
+    /// Its entry in the roster is durable.
+    pub rostered: bool,
+    /// Rented or first seen, ms (may be reckoned back by its listed age).
+    pub born: u64,
+    /// First seen in the list, ms.
+    pub first_listed: Option<u64>,
+    /// What is on it.
+    pub held: Vec<Held>,
+    /// What has ended on it.
+    pub ended: Vec<Ended>,
+    /// The cloud takes it at this time, ms.
+    pub notice: Option<u64>,
+    /// Takes nothing new until then, ms.
+    pub pause_until: u64,
+    /// Errors of different jobs in a row.
+    pub errors: u32,
+    /// The job of the last error.
+    pub last_error: Option<u64>,
+    /// To be emptied and returned, for this reason.
+    pub closing: Option<&'static str>,
+    /// Nothing on it since, ms.
+    pub idle_since: Option<u64>,
+    /// Images on it, least recently used first, with size.
+    pub images: Vec<(u32, f64)>,
+    /// Kept for a job until, ms.
+    pub kept: Option<(u64, u64)>,
+}
+
+impl Host {
+    /// A machine that nothing is known of.
+    pub fn new(now: u64) -> Self {
+        Self {
+            flavor: String::new(),
+            yard: String::new(),
+            loaner: false,
+            heard: false,
+            newest: (0, 0),
+            dead_tenure: 0,
+            last_answer: now,
+            rostered: false,
+            born: now,
+            first_listed: None,
+            held: Vec::new(),
+            ended: Vec::new(),
+            notice: None,
+            pause_until: 0,
+            errors: 0,
+            last_error: None,
+            closing: None,
+            idle_since: None,
+            images: Vec::new(),
+            kept: None,
+        }
+    }
+
+    /// An image was used on it; older ones give way beyond `cache_gb`.
+    pub fn touch_image(&mut self, image: u32, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push((image, gb));
+        let mut sum: f64 = self.images.iter().map(|(_, g)| g).sum();
+        while self.images.len() > 1 && sum > cache_gb {
+            sum -= self.images.remove(0).1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/ledger/schedule.rs
@@ -0,0 +1,351 @@
+use super::{Held, Host, Job, Kill, Ledger, Phase, Slot};
+use hookway_constants as constants;
+use hookway_policy::{HeldView, HostView, JobView, Room, TeamView, World, evict, minimum, place};
+use hookway_wire::PieceState;
+use std::collections::HashMap;
+
+/// A world for the policy, with what its indexes stand for.
+pub(super) struct Scene {
+    pub world: World,
+    pub jobs: Vec<u64>,
+    pub hosts: Vec<String>,
+}
+
+impl Ledger {
+    /// What is free on a machine, and whether something unknown is on it.
+    pub(super) fn free_room(&self, host: &Host, total: Room) -> (Room, bool) {
+        let mut free = total;
+        let mut strangers = false;
+        for held in &host.held {
+            match held.job.and_then(|k| self.jobs.get(&k)) {
+                Some(job) => free.take(&job.need),
+                None => strangers = true,
+            }
+        }
+        (free, strangers)
+    }
+
+    /// The world as the policy sees it.
+    pub(super) fn scene(&self, now: u64) -> Scene {
+        let settled = self.settled(now);
+        let mut teams: Vec<TeamView> = self
+            .setup
+            .params
+            .teams
+            .iter()
+            .map(|t| TeamView {
+                used: Room::default(),
+                guaranteed: (t.cpus, t.gpus),
+                limit: (t.cpus_max, t.gpus_max),
+            })
+            .collect();
+        let stranger_somewhere = self.hosts.values().flat_map(|h| &h.held).any(|h| h.job.is_none());
+        for job in self.jobs.values() {
+            if let Some(team) = teams.get_mut(job.team) {
+                for _ in 0..job.held {
+                    team.used.give(&job.need);
+                }
+            }
+        }
+        let mut index: HashMap<u64, usize> = HashMap::new();
+        let mut keys = Vec::new();
+        let mut jobs = Vec::new();
+        for (key, job) in &self.jobs {
+            if job.over.is_some() && job.held == 0 {
+                continue;
+            }
+            let limited = teams.get(job.team).is_some_and(|t| t.limit.0 > 0.0 || t.limit.1 > 0.0);
+            // Until everything an earlier leader started is accounted for, a task of an older job
+            // may be on a machine that has not reported; so may unknown parts of a team's limit.
+            let unsure = !settled && (job.inherited || limited) || stranger_somewhere && limited;
+            let startable = if unsure || now < job.pause_until { 0 } else { self.startable(job) };
+            index.insert(*key, jobs.len());
+            keys.push(*key);
+            jobs.push(self.view(job, startable));
+        }
+        let mut names = Vec::new();
+        let mut hosts = Vec::new();
+        for (name, host) in &self.hosts {
+            if let Some(view) = self.host_view(name, host, &index, now) {
+                names.push(name.clone());
+                hosts.push(view);
+            }
+        }
+        let world =
+            World { now: now as f64 / 1000.0, jobs, hosts, teams, flavors: self.flavors.clone() };
+        Scene { world, jobs: keys, hosts: names }
+    }
+
+    fn startable(&self, job: &Job) -> u32 {
+        if !job.live() {
+            return 0;
+        }
+        if job.spec.is_gang() {
+            // Tasks of an earlier attempt stay where they are until they exit.
+            let whole = job.held == 0 && job.free.len() as u32 == job.spec.pieces;
+            return if whole { job.spec.pieces } else { 0 };
+        }
+        job.free.len() as u32
+    }
+
+    fn view(&self, job: &Job, startable: u32) -> JobView {
+        let flavors = self
+            .flavors
+            .iter()
+            .map(|f| {
+                let named = job.spec.flavors.as_ref().is_none_or(|list| list.contains(&f.label));
+                named && Room::of_flavor(f).fits(&job.need)
+            })
+            .collect();
+        let yard = job
+            .spec
+            .yard
+            .as_ref()
+            .map(|y| self.setup.params.zones.iter().position(|z| z == y).unwrap_or(usize::MAX));
+        JobView {
+            team: job.team,
+            rank: job.spec.rank,
+            gang: job.spec.is_gang(),
+            pieces: job.spec.pieces,
+            need: job.need,
+            flavors,
+            yard,
+            together: job.spec.together,
+            zone_cap: job.spec.zone_cap(),
+            loaners: job.spec.loaners,
+            image: job.image,
+            image_gb: job.spec.image_gb,
+            saves: job.spec.saves(),
+            submitted: job.submitted,
+            due: job.due,
+            own_deadline: job.spec.due_s.is_some(),
+            guess: job.spec.guess_s,
+            finished: job.done,
+            mean: (job.timed > 0).then(|| job.sum_ms as f64 / 1000.0 / f64::from(job.timed)),
+            unfinished: job.unfinished(),
+            running: job.held,
+            startable,
+            per_zone: job.per_zone.clone(),
+            waiting_since: job.waiting_since as f64 / 1000.0,
+        }
+    }
+
+    fn host_view(
+        &self,
+        name: &str,
+        host: &Host,
+        index: &HashMap<u64, usize>,
+        now: u64,
+    ) -> Option<HostView> {
+        let flavor = self.flavors.iter().position(|f| f.label == host.flavor)?;
+        let yard = self.setup.params.zones.iter().position(|z| *z == host.yard)?;
+        let total = Room::of_flavor(&self.flavors[flavor]);
+        let (free, strangers) = self.free_room(host, total);
+        let quiet = (self.setup.params.workers.report_s * 2000.0) as u64;
+        let taken = host.closing.is_some() || host.notice.is_some() || strangers;
+        let silent = now >= host.last_answer + quiet;
+        let open = host.heard
+            && !taken
+            && !silent
+            && now >= host.pause_until
+            && self.blocks.holds(name, &self.setup.label, now);
+        let held = host
+            .held
+            .iter()
+            .enumerate()
+            .filter_map(|(i, h)| {
+                let key = h.job?;
+                let job = self.jobs.get(&key)?;
+                let elapsed = h.running_since.map_or(0.0, |s| now.saturating_sub(s) as f64 / 1e3);
+                Some(HeldView {
+                    tag: i as u64,
+                    job: *index.get(&key)?,
+                    need: job.need,
+                    elapsed,
+                    leaving: h.stray || h.kill.is_some() || !job.live(),
+                })
+            })
+            .collect();
+        Some(HostView {
+            flavor,
+            yard,
+            loaner: host.loaner,
+            total,
+            free,
+            images: host.images.iter().map(|(i, _)| *i).collect(),
+            open,
+            booting: !host.heard && !taken,
+            kept_for: host.kept.map(|(k, _)| index.get(&k).copied().unwrap_or(usize::MAX)),
+            held,
+        })
+    }
+
+    /// One scheduling round: stops what must stop, renews the blocks, places tasks, makes room.
+    pub fn round(&mut self, now: u64) {
+        self.last_round = now;
+        self.pass_time(now);
+        self.renew_blocks(now);
+        self.mend_gangs(now);
+        self.clear_noticed(now);
+        if self.jobs.is_empty() || self.flavors.is_empty() {
+            return;
+        }
+        let mut scene = self.scene(now);
+        let minimums: Vec<(u64, u32)> = scene
+            .jobs
+            .iter()
+            .zip(&scene.world.jobs)
+            .filter(|(_, v)| v.due.is_some() && v.mean.is_some())
+            .map(|(k, v)| (*k, minimum(v, scene.world.now)))
+            .collect();
+        for (key, least) in minimums {
+            self.keep_minimum(key, least);
+        }
+        if scene.world.jobs.iter().all(|j| j.startable == 0) {
+            return;
+        }
+        for placement in place(&mut scene.world) {
+            let key = scene.jobs[placement.job];
+            let hosts: Vec<String> =
+                placement.hosts.iter().map(|h| scene.hosts[*h].clone()).collect();
+            self.plan(key, &hosts, now);
+        }
+        for eviction in evict(&scene.world) {
+            let key = scene.jobs[eviction.job];
+            for host in &eviction.hosts {
+                if let Some(host) = self.hosts.get_mut(&scene.hosts[*host]) {
+                    host.kept = Some((key, now + constants::STOP_PATIENCE_MS));
+                }
+            }
+            for (host, tag) in eviction.victims {
+                self.stop_for(&scene.hosts[host], tag as usize, key, now);
+            }
+        }
+    }
+
+    fn renew_blocks(&mut self, now: u64) {
+        let until = now + self.setup.operator.block_lease_ms;
+        let label = self.setup.label.clone();
+        for name in self.hosts.keys() {
+            self.blocks.lease(name, &label, now, until);
+        }
+    }
+
+    /// A gang that lost a task, or of which only part was found after a change of leader, goes.
+    fn mend_gangs(&mut self, now: u64) {
+        let settled = self.settled(now);
+        for job in self.jobs.values_mut() {
+            let partial = job.spec.is_gang()
+                && job.live()
+                && job.held > 0
+                && job.slots.contains(&Slot::Free)
+                && (settled || !job.inherited);
+            if partial {
+                job.broken = true;
+            }
+        }
+    }
+
+    /// Machines that the cloud takes back: work that can save is stopped in time, and work that has
+    /// made no progress yet goes elsewhere. The rest runs on, for it may finish first.
+    fn clear_noticed(&mut self, now: u64) {
+        let names: Vec<String> = self
+            .hosts
+            .iter()
+            .filter(|(_, h)| h.notice.is_some() || h.closing.is_some())
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in names {
+            let Some(host) = self.hosts.get(&name) else { continue };
+            let mut stops = Vec::new();
+            for (i, held) in host.held.iter().enumerate() {
+                let Some(job) = held.job.and_then(|k| self.jobs.get(&k)) else { continue };
+                let idle = matches!(
+                    held.phase,
+                    Phase::Planned | Phase::On(PieceState::Pulling | PieceState::Waiting)
+                );
+                if held.kill.is_none() && (idle || job.spec.saves()) {
+                    stops.push(i);
+                }
+            }
+            for i in stops {
+                self.stop(&name, i, now);
+            }
+        }
+    }
+
+    fn plan(&mut self, key: u64, hosts: &[String], now: u64) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let gang = job.spec.is_gang();
+        for name in hosts {
+            let Some(index) = job.free.pop_first() else { break };
+            let Some(host) = self.hosts.get_mut(name) else {
+                job.free.insert(index);
+                continue;
+            };
+            // An attempt number is never used twice: the term leads it, and no two leaders share
+            // a term.
+            let attempt = match job.attempt.filter(|_| gang) {
+                Some(attempt) => attempt,
+                None => {
+                    self.next_try += 1;
+                    (self.term << 28) + self.next_try
+                }
+            };
+            if gang {
+                job.attempt = Some(attempt);
+            }
+            job.slots[index as usize] = Slot::Held;
+            job.held += 1;
+            if let Some(zone) = self.setup.params.zones.iter().position(|z| *z == host.yard) {
+                job.per_zone[zone] += 1;
+            }
+            host.idle_since = None;
+            host.kept = host.kept.filter(|(k, _)| *k != key);
+            host.held.push(Held {
+                job: Some(key),
+                piece: format!("{}/{index}", job.id),
+                index,
+                attempt,
+                phase: Phase::Planned,
+                stray: false,
+                kill: None,
+                running_since: None,
+                since: now,
+            });
+        }
+    }
+
+    /// Stops a task, and its whole gang with it, with time to save.
+    fn stop(&mut self, name: &str, at: usize, now: u64) {
+        let Some(held) = self.hosts.get(name).and_then(|h| h.held.get(at)) else { return };
+        let Some(key) = held.job else { return };
+        let (piece, attempt) = (held.piece.clone(), held.attempt);
+        let Some(job) = self.jobs.get(&key) else { return };
+        let wind_down_s = if job.spec.saves() { job.spec.snapshot_s + 1.0 } else { 0.0 };
+        let kill = Kill { wind_down_s, since: now };
+        let gang = job.spec.is_gang();
+        for host in self.hosts.values_mut() {
+            for h in &mut host.held {
+                let same = h.job == Some(key) && h.attempt == attempt;
+                if same && (gang || h.piece == piece) && h.kill.is_none() {
+                    h.kill = Some(kill);
+                }
+            }
+        }
+    }
+
+    fn stop_for(&mut self, name: &str, at: usize, winner: u64, now: u64) {
+        let text = match (self.jobs.get(&winner), self.hosts.get(name).and_then(|h| h.held.get(at)))
+        {
+            (Some(job), Some(held)) => format!("task {} makes room for {}", held.index, job.id),
+            _ => return,
+        };
+        let victim = self.hosts.get(name).and_then(|h| h.held.get(at)).and_then(|h| h.job);
+        if let Some(job) = victim.and_then(|k| self.jobs.get_mut(&k)) {
+            tracing::info!("job {}: {text}", job.id);
+            job.note(text);
+        }
+        self.stop(name, at, now);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,20 @@
+//! The controller of hookway: the part that every node runs, as a library.
+//!
+//! [`Ledger`] is the leader's picture of jobs and machines. It does no I/O and reads no clock, so a
+//! test can play any sequence of events to it. Around it stand the actors: leadership, the node that
+//! owns the ledger while it leads, the user and worker interface, and the link to the other nodes.
+
+pub mod api;
+pub mod blocks;
+pub mod config;
+pub mod lead;
+pub mod ledger;
+pub mod limiter;
+pub mod node;
+pub mod peers;
+pub mod records;
+pub mod run;
+
+pub use config::{ConfigError, OperatorSettings, Settings};
+pub use ledger::Ledger;
+pub use run::{StartError, run};
--- /dev/null
+++ b/crates/controller/src/limiter.rs
@@ -0,0 +1,71 @@
+//! A limit on requests in progress that adjusts itself to measured times.
+
+use hookway_constants as constants;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Additive increase while answers are quick, multiplicative decrease when they are not.
+#[derive(Debug)]
+pub struct Limiter {
+    most: f64,
+    state: Mutex<(usize, f64)>,
+}
+
+/// A request in progress; ends when dropped.
+#[derive(Debug)]
+pub struct Pass<'a>(&'a Limiter);
+
+impl Limiter {
+    /// A limit that never exceeds `most`.
+    pub fn new(most: usize) -> Self {
+        let most = most.max(constants::IN_PROGRESS_LEAST) as f64;
+        Self { most, state: Mutex::new((0, most)) }
+    }
+
+    /// Lets a request in, or not.
+    pub fn enter(&self) -> Option<Pass<'_>> {
+        let mut state = self.state.lock().ok()?;
+        if state.0 as f64 >= state.1 {
+            return None;
+        }
+        state.0 += 1;
+        Some(Pass(self))
+    }
+
+    /// A request took this long.
+    pub fn measured(&self, took: Duration) {
+        let Ok(mut state) = self.state.lock() else { return };
+        let slow = took > Duration::from_millis(constants::IN_PROGRESS_TARGET_MS);
+        let next = if slow { state.1 * 0.95 } else { state.1 + 1.0 / state.1.max(1.0) };
+        state.1 = next.clamp(constants::IN_PROGRESS_LEAST as f64, self.most);
+    }
+}
+
+impl Drop for Pass<'_> {
+    fn drop(&mut self) {
+        if let Ok(mut state) = self.0.state.lock() {
+            state.0 = state.0.saturating_sub(1);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn slow_answers_lower_the_limit_and_quick_ones_raise_it() {
+        let limiter = Limiter::new(20);
+        for _ in 0..100 {
+            limiter.measured(Duration::from_secs(2));
+        }
+        let held: Vec<_> = std::iter::from_fn(|| limiter.enter()).collect();
+        assert_eq!(held.len(), constants::IN_PROGRESS_LEAST);
+        drop(held);
+        for _ in 0..1000 {
+            limiter.measured(Duration::from_millis(5));
+        }
+        let held: Vec<_> = std::iter::from_fn(|| limiter.enter()).collect();
+        assert_eq!(held.len(), 20);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/node.rs
@@ -0,0 +1,464 @@
+//! The node's actor. It owns the ledger while the node leads, answers what is asked of it, and
+//! carries out what the ledger wants from the state service and the cloud.
+
+use crate::lead::{Clock, Mandate, Validity, View};
+use crate::ledger::{
+    Commit, CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal,
+};
+use crate::records::{JOBS, MINIMUMS, PROGRESS, ROSTER};
+use hookway_clients::{
+    CloudClient, CloudError, CommitOutcome, RentOutcome, StoreClient, StoreError,
+};
+use hookway_constants as constants;
+use hookway_wire::{CheckIn, CheckInAnswer, Event, Flavor, JobId, ListedHost, RentRequest};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+
+/// What is asked of the node. `None` in a reply: this node does not lead.
+#[derive(Debug)]
+pub enum Ask {
+    /// A worker reports.
+    CheckIn(CheckIn, oneshot::Sender<CheckInReply>),
+    /// A job's state.
+    Status(JobId, oneshot::Sender<Option<Lookup>>),
+    /// Withdraw a job; answered once the decision is durable.
+    Withdraw(JobId, oneshot::Sender<Option<Withdrawal>>),
+    /// A job's record was found in the state service.
+    Adopt(String, serde_json::Value, oneshot::Sender<Option<()>>),
+}
+
+/// The answer to a report.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CheckInReply {
+    /// Commands.
+    Answer(CheckInAnswer),
+    /// This node does not lead; that one does, if known.
+    Elsewhere(Option<String>),
+    /// Not entitled, or the report is old.
+    Unsure,
+}
+
+/// What the node's helpers bring back.
+enum Note {
+    Loaded(Loaded, u64),
+    JobPut(String, serde_json::Value),
+    Committed(Commit, CommitResult),
+    Rented(RentRequest, Option<Vec<String>>),
+    Deleted(Vec<String>, bool),
+    Listed(Vec<ListedHost>, u64),
+    Reload,
+}
+
+/// The node's actor.
+pub struct Node {
+    /// What the ledger needs to know.
+    pub setup: Setup,
+    /// The state service.
+    pub store: StoreClient,
+    /// The cloud.
+    pub cloud: CloudClient,
+    /// Clocks.
+    pub clock: Clock,
+    /// How long this node's lease lasts.
+    pub validity: Arc<Validity>,
+    /// Who leads.
+    pub view: watch::Receiver<View>,
+    /// Rung when a write shows that another node leads.
+    pub doubt: Arc<Notify>,
+    /// Machine types.
+    pub flavors: watch::Receiver<Option<Arc<Vec<Flavor>>>>,
+    /// Questions.
+    pub asks: mpsc::Receiver<Ask>,
+}
+
+/// One term of leadership.
+struct Term {
+    mandate: Mandate,
+    ledger: Option<Ledger>,
+    helpers: JoinSet<()>,
+    notes: mpsc::Sender<Note>,
+    waiting: HashMap<JobId, Vec<oneshot::Sender<Option<Withdrawal>>>>,
+    paused: bool,
+    last_round: u64,
+    last_fleet: u64,
+    last_list: Option<u64>,
+    flavors_seen: Option<Arc<Vec<Flavor>>>,
+    last_log: u64,
+}
+
+impl Node {
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            let mandate = self.view.borrow_and_update().mandate.clone();
+            match mandate {
+                Some(mandate) => self.lead(mandate).await,
+                None => {
+                    tokio::select! {
+                        changed = self.view.changed() => if changed.is_err() { return },
+                        ask = self.asks.recv() => match ask {
+                            Some(ask) => self.not_leading(ask),
+                            None => return,
+                        },
+                    }
+                }
+            }
+        }
+    }
+
+    fn not_leading(&self, ask: Ask) {
+        match ask {
+            Ask::CheckIn(_, reply) => {
+                let leader = self.view.borrow().leader.clone();
+                let other = leader.filter(|l| *l != self.setup.label);
+                let _ = reply.send(CheckInReply::Elsewhere(other));
+            }
+            Ask::Status(_, reply) => drop(reply.send(None)),
+            Ask::Withdraw(_, reply) => drop(reply.send(None)),
+            Ask::Adopt(_, _, reply) => drop(reply.send(None)),
+        }
+    }
+
+    async fn lead(&mut self, mandate: Mandate) {
+        let (notes, mut inbox) = mpsc::channel(constants::MAILBOX);
+        let mut term = Term {
+            mandate,
+            ledger: None,
+            helpers: JoinSet::new(),
+            notes,
+            waiting: HashMap::new(),
+            paused: false,
+            last_round: 0,
+            last_fleet: 0,
+            last_list: None,
+            flavors_seen: None,
+            last_log: 0,
+        };
+        self.start_loading(&mut term);
+        let mut tick = tokio::time::interval(Duration::from_millis(constants::TICK_MS));
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                changed = self.view.changed() => {
+                    let now = self.view.borrow_and_update().mandate.clone();
+                    if changed.is_err() || now.as_ref() != Some(&term.mandate) {
+                        return;
+                    }
+                }
+                ask = self.asks.recv() => match ask {
+                    Some(ask) => self.answer(&mut term, ask),
+                    None => return,
+                },
+                note = inbox.recv() => match note {
+                    Some(note) => self.take(&mut term, note),
+                    None => return,
+                },
+                _ = tick.tick() => self.work(&mut term),
+            }
+            while term.helpers.try_join_next().is_some() {}
+        }
+    }
+
+    /// Reads everything that a new leader needs, again and again until it succeeds.
+    fn start_loading(&self, term: &mut Term) {
+        let (store, notes) = (self.store.clone(), term.notes.clone());
+        term.helpers.spawn(async move {
+            loop {
+                match load(&store).await {
+                    Ok((loaded, epoch)) => {
+                        let _ = notes.send(Note::Loaded(loaded, epoch)).await;
+                        return;
+                    }
+                    Err(e) => {
+                        tracing::debug!("reading the records: {e}");
+                        pause(constants::LEADER_RETRY_MS).await;
+                    }
+                }
+            }
+        });
+    }
+
+    fn start_watching(&self, term: &mut Term, epoch: u64) {
+        let (store, notes) = (self.store.clone(), term.notes.clone());
+        term.helpers.spawn(async move {
+            let mut epoch = epoch;
+            loop {
+                match store.watch(JOBS, epoch, constants::WATCH_WAIT_MS).await {
+                    Ok(answer) => {
+                        epoch = epoch.max(answer.epoch);
+                        for event in answer.events {
+                            if let Event::Put { put, v, .. } = event
+                                && notes.send(Note::JobPut(put, v)).await.is_err()
+                            {
+                                return;
+                            }
+                        }
+                    }
+                    Err(StoreError::TooOld) => {
+                        let _ = notes.send(Note::Reload).await;
+                        match store.list(JOBS).await {
+                            Ok((jobs, at)) => {
+                                epoch = at;
+                                for kv in jobs {
+                                    if notes.send(Note::JobPut(kv.key, kv.v)).await.is_err() {
+                                        return;
+                                    }
+                                }
+                            }
+                            Err(e) => {
+                                tracing::debug!("reading the jobs again: {e}");
+                                pause(constants::WATCH_RETRY_MS).await;
+                            }
+                        }
+                    }
+                    Err(e) => {
+                        tracing::debug!("watching for jobs: {e}");
+                        pause(constants::WATCH_RETRY_MS).await;
+                    }
+                }
+            }
+        });
+    }
+
+    fn answer(&self, term: &mut Term, ask: Ask) {
+        let now = self.clock.now();
+        let entitled = self.validity.holds(now) && !term.paused;
+        let Some(ledger) = term.ledger.as_mut().filter(|_| entitled) else {
+            match ask {
+                Ask::CheckIn(_, reply) => drop(reply.send(CheckInReply::Unsure)),
+                other => self.not_leading(other),
+            }
+            return;
+        };
+        match ask {
+            Ask::CheckIn(report, reply) => {
+                let answer = ledger.check_in(&report, now);
+                let _ = reply.send(answer.map_or(CheckInReply::Unsure, CheckInReply::Answer));
+                self.flush(term);
+            }
+            Ask::Status(id, reply) => drop(reply.send(Some(ledger.status(&id)))),
+            Ask::Withdraw(id, reply) => match ledger.withdraw(&id) {
+                Withdrawal::Pending => {
+                    term.waiting.entry(id).or_default().push(reply);
+                    self.flush(term);
+                }
+                answer => drop(reply.send(Some(answer))),
+            },
+            Ask::Adopt(key, value, reply) => {
+                let at = Moment { now, wall: crate::lead::wall_ms() };
+                ledger.job_seen(&key, value, at, false);
+                let _ = reply.send(Some(()));
+            }
+        }
+    }
+
+    fn take(&self, term: &mut Term, note: Note) {
+        let at = self.clock.moment();
+        match note {
+            Note::Loaded(loaded, epoch) => {
+                let flavors = self.flavors.borrow().as_ref().map(|f| f.to_vec());
+                let ledger = Ledger::new(
+                    self.setup.clone(),
+                    term.mandate.term,
+                    term.mandate.guard.clone(),
+                    flavors.unwrap_or_default(),
+                    loaded,
+                    at,
+                );
+                let (jobs, hosts, _) = ledger.counts();
+                tracing::info!("term {}: {jobs} jobs, {hosts} machines", term.mandate.term);
+                term.ledger = Some(ledger);
+                self.start_watching(term, epoch);
+            }
+            Note::JobPut(key, value) => {
+                if let Some(ledger) = &mut term.ledger {
+                    ledger.job_seen(&key, value, at, false);
+                }
+            }
+            Note::Reload => tracing::info!("the watch fell behind, reading the jobs again"),
+            Note::Committed(commit, result) => {
+                let Some(ledger) = &mut term.ledger else { return };
+                ledger.committed(commit, result, at.now);
+                for (id, record) in ledger.take_decided() {
+                    for reply in term.waiting.remove(&id).unwrap_or_default() {
+                        let _ = reply.send(Some(Withdrawal::Over(record.status(&id))));
+                    }
+                }
+                if ledger.deposed() {
+                    self.doubt.notify_one();
+                }
+                self.flush(term);
+            }
+            Note::Rented(request, hosts) => {
+                if let Some(ledger) = &mut term.ledger {
+                    ledger.rented(&request, hosts, at.now);
+                }
+            }
+            Note::Deleted(names, done) => {
+                let Some(ledger) = &mut term.ledger else { return };
+                if done {
+                    ledger.deleted(&names, at.now);
+                } else {
+                    ledger.delete_failed(&names);
+                }
+            }
+            Note::Listed(list, asked) => {
+                if let Some(ledger) = &mut term.ledger {
+                    ledger.listed(&list, asked, at.now);
+                }
+            }
+        }
+    }
+
+    /// Starts the next transaction, if there is one.
+    fn flush(&self, term: &mut Term) {
+        let now = self.clock.now();
+        if !self.validity.holds(now) {
+            return;
+        }
+        let Some(commit) = term.ledger.as_mut().and_then(|l| l.next_commit(now)) else { return };
+        let (store, notes) = (self.store.clone(), term.notes.clone());
+        term.helpers.spawn(async move {
+            let result = carry_out(&store, &commit).await;
+            let _ = notes.send(Note::Committed(commit, result)).await;
+        });
+    }
+
+    /// The leader's clockwork.
+    fn work(&self, term: &mut Term) {
+        let now = self.clock.now();
+        let valid = self.validity.holds(now);
+        let Some(ledger) = &mut term.ledger else { return };
+        if !valid {
+            if !term.paused {
+                tracing::info!("the lease is in doubt: deciding nothing");
+                term.paused = true;
+            }
+            return;
+        }
+        if term.paused {
+            tracing::info!("the lease holds again");
+            term.paused = false;
+            ledger.resumed(now);
+        }
+        let flavors = self.flavors.borrow().clone();
+        if flavors != term.flavors_seen {
+            ledger.set_flavors(flavors.as_ref().map(|f| f.to_vec()).unwrap_or_default());
+            term.flavors_seen = flavors;
+        }
+        if now >= term.last_round + constants::ROUND_EVERY_MS {
+            term.last_round = now;
+            ledger.round(now);
+        }
+        if now >= term.last_fleet + constants::FLEET_EVERY_MS {
+            term.last_fleet = now;
+            for action in ledger.fleet_round(now) {
+                self.act(&mut term.helpers, &term.notes, action, &term.mandate);
+            }
+        }
+        if now >= term.last_log + 10_000 {
+            term.last_log = now;
+            let (jobs, hosts, held) = ledger.counts();
+            tracing::info!("{jobs} jobs, {hosts} machines, {held} tasks placed");
+        }
+        if term.last_list.is_none_or(|l| now >= l + constants::CLOUD_LIST_EVERY_MS) {
+            term.last_list = Some(now);
+            let (cloud, notes) = (self.cloud.clone(), term.notes.clone());
+            let clock = self.clock;
+            term.helpers.spawn(async move {
+                let asked = clock.now();
+                match cloud.machines().await {
+                    Ok(list) => drop(notes.send(Note::Listed(list, asked)).await),
+                    Err(e) => tracing::debug!("machine list: {e}"),
+                }
+            });
+        }
+        self.flush(term);
+    }
+
+    fn act(
+        &self,
+        helpers: &mut JoinSet<()>,
+        notes: &mpsc::Sender<Note>,
+        action: FleetAction,
+        mandate: &Mandate,
+    ) {
+        let (cloud, notes) = (self.cloud.clone(), notes.clone());
+        let term = mandate.term;
+        match action {
+            FleetAction::Rent(request) => helpers.spawn(async move {
+                // After an unclear outcome the same request, under the same name, tells what was
+                // rented, or rents now.
+                loop {
+                    match cloud.rent(&request).await {
+                        Ok(RentOutcome::Rented(hosts)) => {
+                            let _ = notes.send(Note::Rented(request, Some(hosts))).await;
+                            return;
+                        }
+                        Ok(RentOutcome::NoCapacity) | Err(CloudError::Unexpected(..)) => {
+                            let _ = notes.send(Note::Rented(request, None)).await;
+                            return;
+                        }
+                        Err(e) => {
+                            tracing::debug!("rental {} (term {term}): {e}", request.hire);
+                            pause(1_000).await;
+                        }
+                    }
+                }
+            }),
+            FleetAction::Delete(names) => helpers.spawn(async move {
+                let done = match cloud.delete(&names).await {
+                    Ok(()) => true,
+                    Err(e) => {
+                        tracing::debug!("deleting {names:?}: {e}");
+                        pause(1_000).await;
+                        false
+                    }
+                };
+                let _ = notes.send(Note::Deleted(names, done)).await;
+            }),
+        };
+    }
+}
+
+async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+async fn load(store: &StoreClient) -> Result<(Loaded, u64), StoreError> {
+    let (jobs, epoch) = store.list(JOBS).await?;
+    let (progress, _) = store.list(PROGRESS).await?;
+    let (minimums, _) = store.list(MINIMUMS).await?;
+    let (roster, _) = store.list(ROSTER).await?;
+    Ok((Loaded { jobs, progress, minimums, roster }, epoch))
+}
+
+/// Commits; if the outcome is anything but plain, reads the keys again, since a lost answer says
+/// nothing about what was done.
+async fn carry_out(store: &StoreClient, commit: &Commit) -> CommitResult {
+    match store.commit(&commit.transaction).await {
+        Ok(CommitOutcome::Applied(epoch)) => return CommitResult::Applied(epoch),
+        Err(StoreError::Unavailable | StoreError::TooMany) => return CommitResult::NotDone,
+        Ok(CommitOutcome::Refused(keys)) => tracing::info!("transaction refused: {keys:?}"),
+        Err(e) => tracing::info!("transaction unclear: {e}"),
+    }
+    let mut learned = Vec::new();
+    for key in commit.keys() {
+        loop {
+            match store.get(&key).await {
+                Ok(value) => {
+                    learned.push((key, value));
+                    break;
+                }
+                Err(e) => {
+                    tracing::debug!("reading {key} again: {e}");
+                    pause(constants::LEADER_RETRY_MS).await;
+                }
+            }
+        }
+    }
+    CommitResult::Unsure(learned)
+}
--- /dev/null
+++ b/crates/controller/src/peers.rs
@@ -0,0 +1,150 @@
+//! The link between controllers: length-prefixed bincode over TCP. A node that is asked something
+//! by a user that only the leader knows, or that can't reach the state service itself, asks here.
+
+use crate::api::{Desk, Verdict};
+use hookway_constants as constants;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What one controller asks another. Answered from the other's own knowledge; never passed on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAsk {
+    /// A job's state.
+    Status(String),
+    /// Withdraw a job.
+    Withdraw(String),
+    /// Accept a job: the user's body.
+    Submit(Vec<u8>),
+}
+
+/// Why an exchange with another controller failed.
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    /// No such controller.
+    #[error("unknown controller")]
+    Unknown,
+    /// No answer in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The connection failed.
+    #[error("connection: {0}")]
+    Io(#[from] std::io::Error),
+    /// The message can't be read or written.
+    #[error("message: {0}")]
+    Message(String),
+}
+
+fn config() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<{ constants::PEER_FRAME_LIMIT }>()
+}
+
+async fn send<T: Serialize>(stream: &mut TcpStream, message: &T) -> Result<(), PeerError> {
+    let body = bincode::serde::encode_to_vec(message, config())
+        .map_err(|e| PeerError::Message(e.to_string()))?;
+    let length = u32::try_from(body.len()).map_err(|e| PeerError::Message(e.to_string()))?;
+    let mut frame = length.to_be_bytes().to_vec();
+    frame.extend(body);
+    stream.write_all(&frame).await?;
+    Ok(())
+}
+
+async fn receive<T: for<'de> Deserialize<'de>>(stream: &mut TcpStream) -> Result<T, PeerError> {
+    let length = stream.read_u32().await? as usize;
+    if length > constants::PEER_FRAME_LIMIT {
+        return Err(PeerError::Message("too long".into()));
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    bincode::serde::decode_from_slice(&body, config())
+        .map(|(message, _)| message)
+        .map_err(|e| PeerError::Message(e.to_string()))
+}
+
+async fn over(stream: &mut TcpStream, ask: &PeerAsk) -> Result<Verdict, PeerError> {
+    send(stream, ask).await?;
+    receive(stream).await
+}
+
+/// Connections to the other controllers.
+#[derive(Debug, Default)]
+pub struct Peers {
+    addresses: HashMap<String, String>,
+    idle: Mutex<HashMap<String, Vec<TcpStream>>>,
+}
+
+impl Peers {
+    /// By name and address.
+    pub fn new(addresses: HashMap<String, String>) -> Self {
+        Self { addresses, idle: Mutex::default() }
+    }
+
+    /// The names of the others.
+    pub fn names(&self) -> Vec<String> {
+        self.addresses.keys().cloned().collect()
+    }
+
+    /// One exchange.
+    pub async fn ask(
+        &self,
+        name: &str,
+        ask: &PeerAsk,
+        limit_ms: u64,
+    ) -> Result<Verdict, PeerError> {
+        let address = self.addresses.get(name).ok_or(PeerError::Unknown)?;
+        let work = async {
+            let kept = self.idle.lock().ok().and_then(|mut i| i.get_mut(name)?.pop());
+            // A kept connection may have died since; every question may be asked twice.
+            let old = match kept {
+                Some(mut stream) => over(&mut stream, ask).await.ok().map(|a| (stream, a)),
+                None => None,
+            };
+            let (stream, answer) = match old {
+                Some(found) => found,
+                None => {
+                    let mut stream = TcpStream::connect(address).await?;
+                    stream.set_nodelay(true)?;
+                    let answer = over(&mut stream, ask).await?;
+                    (stream, answer)
+                }
+            };
+            if let Ok(mut idle) = self.idle.lock() {
+                let kept = idle.entry(name.to_owned()).or_default();
+                if kept.len() < constants::PEER_IDLE {
+                    kept.push(stream);
+                }
+            }
+            Ok(answer)
+        };
+        tokio::time::timeout(Duration::from_millis(limit_ms), work)
+            .await
+            .map_err(|_| PeerError::Timeout)?
+    }
+}
+
+/// Serves the other controllers.
+pub async fn serve(listener: TcpListener, desk: Arc<Desk>) {
+    loop {
+        match listener.accept().await {
+            Ok((mut stream, _)) => {
+                let desk = desk.clone();
+                tokio::spawn(async move {
+                    let _ = stream.set_nodelay(true);
+                    while let Ok(ask) = receive::<PeerAsk>(&mut stream).await {
+                        let answer = desk.answer_peer(ask).await;
+                        if send(&mut stream, &answer).await.is_err() {
+                            break;
+                        }
+                    }
+                });
+            }
+            Err(e) => {
+                tracing::error!("accepting another controller: {e}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/records.rs
@@ -0,0 +1,158 @@
+//! What the controllers keep in the state service.
+//!
+//! | key | what |
+//! | --- | --- |
+//! | `lead/now` | who leads; hangs on the leader's lease |
+//! | `lead/term` | the highest term so far; only grows |
+//! | `j/<job>` | an accepted job that is not over |
+//! | `f/<job>` | the final state of a job; written once, never changed |
+//! | `p/<job>/<chunk>` | which tasks of a job are done, as bits |
+//! | `m/<job>` | the job's minimum and mean task time (a hint for the next leader) |
+//! | `r/<machine>` | a machine that may have tasks |
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use hookway_wire::{JobId, JobSpec, JobState, JobStatus};
+use serde::{Deserialize, Serialize};
+
+/// Who leads.
+pub const LEAD_NOW: &str = "lead/now";
+/// The highest term.
+pub const LEAD_TERM: &str = "lead/term";
+/// Prefix of both.
+pub const LEAD: &str = "lead/";
+/// Prefix of accepted jobs.
+pub const JOBS: &str = "j/";
+/// Prefix of final states.
+pub const FINALS: &str = "f/";
+/// Prefix of progress records.
+pub const PROGRESS: &str = "p/";
+/// Prefix of minimums.
+pub const MINIMUMS: &str = "m/";
+/// Prefix of the roster.
+pub const ROSTER: &str = "r/";
+
+/// Value of `lead/now`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadRecord {
+    /// The leader's name.
+    pub label: String,
+    /// Its term, which is the token too.
+    pub term: u64,
+    /// Tells this try for leadership from every other one.
+    pub nonce: u64,
+}
+
+/// Value of `j/<job>`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The job.
+    pub spec: JobSpec,
+    /// Time of day when it was accepted, ms.
+    pub at_ms: u64,
+}
+
+/// Value of `f/<job>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    /// `done` or `withdrawn`.
+    pub state: JobState,
+    /// Completed tasks.
+    pub done: u32,
+    /// The team.
+    pub owner: String,
+    /// Why attempts ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub notes: Vec<String>,
+}
+
+impl FinalRecord {
+    /// The user's view.
+    pub fn status(&self, id: &JobId) -> JobStatus {
+        JobStatus {
+            name_id: id.clone(),
+            status: self.state,
+            done: self.done,
+            running: 0,
+            owner: Some(self.owner.clone()),
+            commander: None,
+            notes: self.notes.clone(),
+        }
+    }
+}
+
+/// Value of `m/<job>`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct MinimumRecord {
+    /// The minimum.
+    pub least: u32,
+    /// Tasks whose run time is known.
+    pub timed: u32,
+    /// Sum of those, ms.
+    pub sum_ms: u64,
+}
+
+/// Value of `p/<job>/<chunk>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgressRecord {
+    /// One bit a task, lowest first, as base64.
+    pub bits: String,
+}
+
+impl ProgressRecord {
+    /// From bits.
+    pub fn new(bits: &[bool]) -> Self {
+        let mut bytes = vec![0u8; bits.len().div_ceil(8)];
+        for (i, _) in bits.iter().enumerate().filter(|(_, b)| **b) {
+            bytes[i / 8] |= 1 << (i % 8);
+        }
+        Self { bits: STANDARD_NO_PAD.encode(bytes) }
+    }
+
+    /// The tasks, counted from the chunk's first, whose bit is set.
+    pub fn set(&self) -> Vec<u32> {
+        let bytes = STANDARD_NO_PAD.decode(&self.bits).unwrap_or_default();
+        (0..bytes.len() as u32 * 8)
+            .filter(|i| bytes[(i / 8) as usize] & (1 << (i % 8)) != 0)
+            .collect()
+    }
+}
+
+/// `j/<job>`.
+pub fn job_key(id: &JobId) -> String {
+    format!("{JOBS}{id}")
+}
+
+/// `f/<job>`.
+pub fn final_key(id: &JobId) -> String {
+    format!("{FINALS}{id}")
+}
+
+/// `p/<job>/<chunk>`.
+pub fn progress_key(id: &JobId, chunk: usize) -> String {
+    format!("{PROGRESS}{id}/{chunk}")
+}
+
+/// `m/<job>`.
+pub fn minimum_key(id: &JobId) -> String {
+    format!("{MINIMUMS}{id}")
+}
+
+/// `r/<machine>`.
+pub fn roster_key(host: &str) -> String {
+    format!("{ROSTER}{host}")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn progress_bits_come_back() {
+        let mut bits = vec![false; 70];
+        bits[0] = true;
+        bits[9] = true;
+        bits[69] = true;
+        assert_eq!(ProgressRecord::new(&bits).set(), [0, 9, 69]);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/run.rs
@@ -0,0 +1,103 @@
+//! Puts a node together and runs it.
+
+use crate::api::{self, Desk};
+use crate::config::{OperatorSettings, Settings};
+use crate::lead::{Clock, Leadership, Validity, View};
+use crate::ledger::Setup;
+use crate::node::Node;
+use crate::peers::{self, Peers};
+use hookway_clients::{CloudClient, StoreClient};
+use hookway_constants as constants;
+use hookway_wire::Flavor;
+use salvo::conn::TcpListener;
+use salvo::prelude::*;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc, watch};
+
+/// Why a node could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address can't be used.
+    #[error("can't listen on {0}: {1}")]
+    Listen(String, String),
+}
+
+/// Runs a node until the process ends.
+pub async fn run(settings: Settings, operator: OperatorSettings) -> Result<(), StartError> {
+    let params = settings.settings.clone();
+    let label = settings.label.clone();
+    let clock = Clock::default();
+    let store =
+        StoreClient::new(&settings.outside.state, params.state.rps * constants::NODE_REQUEST_SHARE);
+    let cloud =
+        CloudClient::new(&settings.outside.cloud, params.cloud.rps * constants::CLOUD_RATE_SHARE);
+    let (view_tx, view) = watch::channel(View::default());
+    let (flavors_tx, flavors) = watch::channel(None);
+    let (node_tx, asks) = mpsc::channel(constants::MAILBOX);
+    let validity = Arc::new(Validity::default());
+    let doubt = Arc::new(Notify::new());
+
+    let addresses =
+        settings.siblings.iter().map(|s| (s.label.clone(), s.address.clone())).collect();
+    let desk = Arc::new(Desk::new(
+        params.clone(),
+        label.clone(),
+        store.clone(),
+        Peers::new(addresses),
+        node_tx,
+        view.clone(),
+        flavors.clone(),
+    ));
+    let peer_listener = tokio::net::TcpListener::bind(&settings.peer_bind)
+        .await
+        .map_err(|e| StartError::Listen(settings.peer_bind.clone(), e.to_string()))?;
+    let acceptor = TcpListener::new(settings.api_addr.clone())
+        .try_bind()
+        .await
+        .map_err(|e| StartError::Listen(settings.api_addr.clone(), e.to_string()))?;
+
+    let leadership = Leadership {
+        label: label.clone(),
+        store: store.clone(),
+        clock,
+        validity: validity.clone(),
+        view: view_tx,
+        doubt: doubt.clone(),
+    };
+    let node = Node {
+        setup: Setup { label: label.clone(), params, operator },
+        store,
+        cloud: cloud.clone(),
+        clock,
+        validity,
+        view,
+        doubt,
+        flavors,
+        asks,
+    };
+    tokio::spawn(leadership.run());
+    tokio::spawn(node.run());
+    tokio::spawn(read_flavors(cloud, flavors_tx));
+    tokio::spawn(peers::serve(peer_listener, desk.clone()));
+    tracing::info!("{label}: serving on {}", settings.api_addr);
+    Server::new(acceptor).serve(api::service(desk)).await;
+    Ok(())
+}
+
+/// Keeps the machine types and their prices up to date.
+async fn read_flavors(cloud: CloudClient, out: watch::Sender<Option<Arc<Vec<Flavor>>>>) {
+    loop {
+        let wait = match cloud.flavors().await {
+            Ok(flavors) => {
+                let _ = out.send(Some(Arc::new(flavors)));
+                constants::FLAVORS_EVERY_MS
+            }
+            Err(e) => {
+                tracing::debug!("machine types: {e}");
+                constants::FLAVORS_RETRY_MS
+            }
+        };
+        tokio::time::sleep(Duration::from_millis(wait)).await;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fleet.rs
@@ -0,0 +1,177 @@
+use crate::{HostView, Room, World, wanted};
+use hookway_constants as constants;
+
+/// A type, zone and kind of machine that can be rented now.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Offer {
+    /// Machine type.
+    pub flavor: usize,
+    /// Zone.
+    pub yard: usize,
+    /// Spot or ordinary.
+    pub loaner: bool,
+    /// Price per hour.
+    pub price: f64,
+}
+
+/// Machines to rent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rent {
+    /// Index of the offer.
+    pub offer: usize,
+    /// Number of machines.
+    pub count: u32,
+}
+
+/// What a fleet round found.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct FleetPlan {
+    /// Machines to rent.
+    pub rent: Vec<Rent>,
+    /// Machines that wanted work has a use for.
+    pub needed: Vec<bool>,
+}
+
+/// How many machines are wanted. Wanted work is laid out over the free room of the machines there
+/// are and those that are booting; what finds none is laid out over the cheapest offers.
+pub fn plan_fleet(world: &World, offers: &[Offer]) -> FleetPlan {
+    let mut free: Vec<Room> = world.hosts.iter().map(|h| h.free).collect();
+    let mut plan = FleetPlan { rent: vec![], needed: vec![false; world.hosts.len()] };
+    // Machines that this plan rents, with the room that is left on them.
+    let mut rented: Vec<(usize, Room)> = Vec::new();
+    let mut used: Vec<Room> = world.teams.iter().map(|t| t.used).collect();
+    let mut order: Vec<usize> = (0..world.jobs.len()).collect();
+    order.sort_by(|a, b| {
+        let (a, b) = (&world.jobs[*a], &world.jobs[*b]);
+        b.rank.cmp(&a.rank).then(a.submitted.total_cmp(&b.submitted))
+    });
+    for job_ix in order {
+        let job = &world.jobs[job_ix];
+        let lead = lead_time(world, job_ix);
+        let mut short = wanted(job, world.now, lead).saturating_sub(job.running).min(job.startable);
+        if let Some(team) = world.teams.get(job.team) {
+            let mut then = team.clone();
+            then.used = used[job.team];
+            short = short.min(then.allows(&job.need));
+            for _ in 0..short {
+                used[job.team].give(&job.need);
+            }
+        }
+        for (i, host) in world.hosts.iter().enumerate() {
+            if short == 0 {
+                break;
+            }
+            if !takes(world, job_ix, host) {
+                continue;
+            }
+            let n = free[i].count(&job.need).min(short);
+            if n > 0 {
+                plan.needed[i] = true;
+                for _ in 0..n {
+                    free[i].take(&job.need);
+                }
+                short -= n;
+            }
+        }
+        for (offer, room) in &mut rented {
+            let o = &offers[*offer];
+            if short == 0 {
+                break;
+            }
+            if job.allows(o.flavor, o.yard, o.loaner) {
+                let n = room.count(&job.need).min(short);
+                for _ in 0..n {
+                    room.take(&job.need);
+                }
+                short -= n;
+            }
+        }
+        while short > 0 {
+            let Some((offer, per_host)) = cheapest(world, job_ix, short, offers) else { break };
+            let flavor = &world.flavors[offers[offer].flavor];
+            let n = per_host.min(short);
+            let mut room = Room::of_flavor(flavor);
+            for _ in 0..n {
+                room.take(&job.need);
+            }
+            short -= n;
+            rented.push((offer, room));
+            match plan.rent.iter_mut().find(|r| r.offer == offer) {
+                Some(rent) => rent.count += 1,
+                None => plan.rent.push(Rent { offer, count: 1 }),
+            }
+            if rented.len() >= 64 {
+                return plan;
+            }
+        }
+    }
+    plan
+}
+
+fn takes(world: &World, job: usize, host: &HostView) -> bool {
+    (host.open || host.booting)
+        && host.kept_for.is_none_or(|k| k == job)
+        && world.jobs[job].allows(host.flavor, host.yard, host.loaner)
+}
+
+/// Time until a machine rented now could run the job's first task, s.
+fn lead_time(world: &World, job_ix: usize) -> f64 {
+    let job = &world.jobs[job_ix];
+    let fastest = world
+        .flavors
+        .iter()
+        .enumerate()
+        .filter(|(i, _)| job.flavors.get(*i).copied().unwrap_or(false))
+        .map(|(_, f)| if f.fetch_gb_per_s > 0.0 { job.image_gb / f.fetch_gb_per_s } else { 0.0 })
+        .fold(f64::INFINITY, f64::min);
+    if fastest.is_finite() { fastest } else { 0.0 }
+}
+
+/// The offer with the lowest price for the tasks it would take; and how many a machine takes.
+fn cheapest(world: &World, job_ix: usize, short: u32, offers: &[Offer]) -> Option<(usize, u32)> {
+    let job = &world.jobs[job_ix];
+    let mut best: Option<(f64, usize, u32)> = None;
+    for (i, offer) in offers.iter().enumerate() {
+        if !job.allows(offer.flavor, offer.yard, offer.loaner) {
+            continue;
+        }
+        let flavor = world.flavors.get(offer.flavor)?;
+        let fits = Room::of_flavor(flavor).count(&job.need);
+        if fits == 0 {
+            continue;
+        }
+        let tasks = fits.min(short);
+        // Boot and image fetch are paid for too, spread over a nominal minute of work.
+        let fetch =
+            if flavor.fetch_gb_per_s > 0.0 { job.image_gb / flavor.fetch_gb_per_s } else { 0.0 };
+        let overhead = 1.0 + (flavor.ready_s + fetch) / 60.0;
+        let price = offer.price * overhead / f64::from(tasks);
+        if best.is_none_or(|(b, _, _)| price < b) {
+            best = Some((price, i, fits));
+        }
+    }
+    best.map(|(_, i, n)| (i, n))
+}
+
+/// Whether a machine that has been idle for `idle` seconds should be returned.
+pub fn should_return(idle: f64, needed: bool) -> bool {
+    !needed && idle * 1000.0 >= constants::IDLE_RETURN_MS as f64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::place::tests::{host, job, world};
+
+    #[test]
+    fn machines_are_rented_for_what_finds_no_room() {
+        let w = world(vec![job(1.0, 10)], vec![host(0)]);
+        let offers = [
+            Offer { flavor: 0, yard: 0, loaner: false, price: 1.0 },
+            Offer { flavor: 0, yard: 1, loaner: true, price: 0.3 },
+        ];
+        let plan = plan_fleet(&w, &offers);
+        assert_eq!(plan.needed, [true]);
+        assert_eq!(plan.rent, [Rent { offer: 1, count: 1 }], "half of 10 in each of two rounds");
+    }
+}
--- /dev/null
+++ b/crates/policy/src/minimum.rs
@@ -0,0 +1,81 @@
+use crate::JobView;
+use hookway_constants as constants;
+
+/// The least number of tasks that should run at a time so that the job meets its deadline.
+///
+/// The paper's equation 10 with one phase (B = 0): n = A / C, where A is the mean time of the
+/// finished tasks times the unfinished tasks and C the time to the deadline. With less than one mean
+/// task time left, all unfinished tasks. Until a task has finished, the running count.
+pub fn minimum(job: &JobView, now: f64) -> u32 {
+    let Some(mean) = job.mean else { return job.running };
+    let Some(due) = job.due else { return 0 };
+    over(mean, job.unfinished, due - now)
+}
+
+fn over(mean: f64, unfinished: u32, left: f64) -> u32 {
+    if left < mean || left <= 0.0 {
+        return unfinished;
+    }
+    let work = mean * f64::from(unfinished);
+    ((work / left).ceil() as u32).min(unfinished)
+}
+
+/// Tasks that the fleet should have room for: the minimum with the owner's estimate as a prior, and
+/// with `lead` seconds taken off the time left (boot and image). A gang wants all its tasks.
+pub fn wanted(job: &JobView, now: f64, lead: f64) -> u32 {
+    if job.gang {
+        return job.unfinished;
+    }
+    let mean = job.task_time();
+    let due = job.due.unwrap_or(job.submitted + constants::FREE_JOB_STRETCH * mean + lead);
+    // A task can't be split: what must be done in the time left goes in whole task times.
+    let rounds = ((due - now - lead) / mean).floor();
+    if rounds < 1.0 {
+        return job.unfinished;
+    }
+    let all = (f64::from(job.unfinished) / rounds).ceil() as u32;
+    all.min(job.unfinished)
+}
+
+/// Whether a minimum has changed enough for its record to be written again.
+pub fn needs_rewrite(written: Option<u32>, current: u32) -> bool {
+    match written {
+        None => current > 0,
+        Some(0) => current > 0,
+        Some(old) => {
+            let change = (f64::from(current) - f64::from(old)).abs() / f64::from(old);
+            change >= constants::MINIMUM_REWRITE_CHANGE
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::place::tests::job;
+
+    #[test]
+    fn the_minimum_follows_the_closed_form() {
+        let mut j = job(1.0, 40);
+        j.running = 7;
+        assert_eq!(minimum(&j, 0.0), 7, "nothing finished: the running count");
+        j.mean = Some(20.0);
+        j.finished = 1;
+        j.unfinished = 39;
+        j.due = Some(100.0);
+        assert_eq!(minimum(&j, 0.0), 8, "20 s x 39 / 100 s = 7.8");
+        assert_eq!(minimum(&j, 85.0), 39, "less than one task time left");
+        assert_eq!(minimum(&j, 120.0), 39, "late");
+        j.due = None;
+        assert_eq!(minimum(&j, 0.0), 0);
+    }
+
+    #[test]
+    fn records_are_rewritten_on_a_change_of_a_quarter() {
+        assert!(needs_rewrite(None, 3));
+        assert!(!needs_rewrite(Some(8), 9));
+        assert!(needs_rewrite(Some(8), 10));
+        assert!(needs_rewrite(Some(8), 6));
+        assert!(!needs_rewrite(Some(0), 0));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/order.rs
@@ -0,0 +1,86 @@
+use crate::{JobView, minimum};
+
+/// One job's turn: up to `tasks` of its tasks are to be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Turn {
+    /// The job.
+    pub job: usize,
+    /// Most tasks to place in this turn.
+    pub tasks: u32,
+    /// A leftover: beyond what the job needs at least.
+    pub leftover: bool,
+}
+
+fn due(job: &JobView) -> f64 {
+    job.due.unwrap_or(f64::INFINITY)
+}
+
+/// The order of the design, within each rank: jobs with nothing finished or running first, oldest
+/// first; then earliest deadline, each up to its minimum; what is left goes in the same order, jobs
+/// without a deadline last.
+pub fn turns(jobs: &[JobView], now: f64) -> Vec<Turn> {
+    let open: Vec<usize> = (0..jobs.len()).filter(|i| jobs[*i].startable > 0).collect();
+    let mut unseen: Vec<usize> = open.iter().copied().filter(|i| jobs[*i].unseen()).collect();
+    unseen.sort_by(|a, b| {
+        let (a, b) = (&jobs[*a], &jobs[*b]);
+        b.rank.cmp(&a.rank).then(a.submitted.total_cmp(&b.submitted))
+    });
+    let mut seen: Vec<usize> = open.iter().copied().filter(|i| !jobs[*i].unseen()).collect();
+    seen.sort_by(|a, b| {
+        let (a, b) = (&jobs[*a], &jobs[*b]);
+        b.rank
+            .cmp(&a.rank)
+            .then(due(a).total_cmp(&due(b)))
+            .then(a.submitted.total_cmp(&b.submitted))
+    });
+    let mut list = Vec::new();
+    for job in &unseen {
+        let tasks = if jobs[*job].gang { jobs[*job].startable } else { 1 };
+        list.push(Turn { job: *job, tasks, leftover: false });
+    }
+    for job in &seen {
+        let view = &jobs[*job];
+        let least = if view.gang { view.unfinished } else { minimum(view, now) };
+        let short = least.saturating_sub(view.running).min(view.startable);
+        if short > 0 {
+            list.push(Turn { job: *job, tasks: short, leftover: false });
+        }
+    }
+    // Leftovers: the same order, deadline-free jobs after those with a deadline of their own.
+    let mut rest: Vec<usize> = unseen.into_iter().chain(seen).filter(|i| !jobs[*i].gang).collect();
+    rest.sort_by_key(|i| (std::cmp::Reverse(jobs[*i].rank), !jobs[*i].own_deadline));
+    for job in rest {
+        list.push(Turn { job, tasks: jobs[job].startable, leftover: true });
+    }
+    list
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::place::tests::job;
+
+    #[test]
+    fn unseen_first_then_deadlines_up_to_minimums_then_leftovers() {
+        let old = JobView { submitted: 1.0, ..job(1.0, 10) };
+        let new = JobView { submitted: 2.0, ..job(1.0, 10) };
+        let started = |due: f64| JobView {
+            finished: 2,
+            unfinished: 8,
+            startable: 6,
+            running: 2,
+            mean: Some(10.0),
+            due: Some(due),
+            own_deadline: true,
+            ..job(1.0, 10)
+        };
+        let jobs = vec![new, started(40.0), old, started(20.0)];
+        let list = turns(&jobs, 0.0);
+        let needed: Vec<(usize, u32)> =
+            list.iter().filter(|t| !t.leftover).map(|t| (t.job, t.tasks)).collect();
+        // 10 s x 8 / 20 s = 4, two run; 10 s x 8 / 40 s = 2, two run: nothing short.
+        assert_eq!(needed, [(2, 1), (0, 1), (3, 2)]);
+        let left: Vec<usize> = list.iter().filter(|t| t.leftover).map(|t| t.job).collect();
+        assert_eq!(left, [3, 1, 2, 0], "jobs without a deadline come last");
+    }
+}
