--- /dev/null
+++ b/crates/policy/src/place.rs
@@ -0,0 +1,288 @@
+use crate::{HostView, JobView, TeamView, World, turns};
+use hookway_constants as constants;
+
+/// Tasks of a job that are to start, one entry a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// The job.
+    pub job: usize,
+    /// The machine of each task.
+    pub hosts: Vec<usize>,
+}
+
+/// How badly a machine suits a task; smaller is better. Seconds of image fetch (image locality, the
+/// paper's data locality) plus what keeps whole machines free for work that needs them.
+fn badness(world: &World, job: &JobView, host: &HostView) -> f64 {
+    let mut cost = 0.0;
+    if !host.images.contains(&job.image) {
+        let rate = world.flavors.get(host.flavor).map_or(0.0, |f| f.fetch_gb_per_s);
+        let fetch = if rate > 0.0 { job.image_gb / rate } else { 0.0 };
+        cost += constants::IMAGE_MISS_PENALTY * fetch;
+    }
+    // Fill machines that are in use before empty ones, small ones before large ones.
+    let after = 1.0 - job.need.share_of(&host.free).min(1.0);
+    cost += 4.0 * after;
+    if host.held.is_empty() {
+        cost += 3.0;
+    }
+    cost
+}
+
+fn usable(job_ix: usize, job: &JobView, host: &HostView) -> bool {
+    host.open
+        && !host.booting
+        && host.kept_for.is_none_or(|k| k == job_ix)
+        && job.allows(host.flavor, host.yard, host.loaner)
+        && host.free.fits(&job.need)
+        && job.zone_open(host.yard)
+}
+
+fn best_host(world: &World, job_ix: usize, zone: Option<usize>) -> Option<usize> {
+    let job = &world.jobs[job_ix];
+    let mut best: Option<(f64, usize)> = None;
+    for (i, host) in world.hosts.iter().enumerate() {
+        if zone.is_some_and(|z| z != host.yard) || !usable(job_ix, job, host) {
+            continue;
+        }
+        let cost = badness(world, job, host);
+        if best.is_none_or(|(b, _)| cost < b) {
+            best = Some((cost, i));
+        }
+    }
+    best.map(|(_, i)| i)
+}
+
+fn put(world: &mut World, job_ix: usize, host: usize) {
+    let need = world.jobs[job_ix].need;
+    let team = world.jobs[job_ix].team;
+    let yard = world.hosts[host].yard;
+    world.hosts[host].free.take(&need);
+    if let Some(team) = world.teams.get_mut(team) {
+        team.used.give(&need);
+    }
+    let job = &mut world.jobs[job_ix];
+    job.running += 1;
+    job.startable -= 1;
+    if let Some(n) = job.per_zone.get_mut(yard) {
+        *n += 1;
+    }
+}
+
+fn undo(world: &mut World, job_ix: usize, host: usize) {
+    let need = world.jobs[job_ix].need;
+    let team = world.jobs[job_ix].team;
+    let yard = world.hosts[host].yard;
+    world.hosts[host].free.give(&need);
+    if let Some(team) = world.teams.get_mut(team) {
+        team.used.take(&need);
+    }
+    let job = &mut world.jobs[job_ix];
+    job.running -= 1;
+    job.startable += 1;
+    if let Some(n) = job.per_zone.get_mut(yard) {
+        *n -= 1;
+    }
+}
+
+fn zones(world: &World) -> usize {
+    world.hosts.iter().map(|h| h.yard + 1).max().unwrap_or(0)
+}
+
+fn room_in(world: &World, job_ix: usize, zone: usize) -> u32 {
+    let job = &world.jobs[job_ix];
+    world
+        .hosts
+        .iter()
+        .filter(|h| h.yard == zone && usable(job_ix, job, h))
+        .fold(0u32, |n, h| n.saturating_add(h.free.count(&job.need)))
+}
+
+/// Places up to `tasks` tasks of an array, or all of a gang; the world is updated.
+fn place_job(world: &mut World, job_ix: usize, tasks: u32) -> Vec<usize> {
+    let job = &world.jobs[job_ix];
+    let team = world.teams.get(job.team).cloned().unwrap_or_default();
+    let tasks = tasks.min(job.startable);
+    let allowed = team.allows(&job.need).min(tasks);
+    if tasks == 0 || allowed == 0 || (job.gang && allowed < tasks) {
+        return Vec::new();
+    }
+    let gang = job.gang;
+    // A job that has to be in one zone: the one where most of it finds room, unless it is in one.
+    let zone = if job.together && job.per_zone.iter().all(|n| *n == 0) {
+        let best = (0..zones(world)).max_by_key(|z| room_in(world, job_ix, *z));
+        if best.is_none() {
+            return Vec::new();
+        }
+        best
+    } else {
+        None
+    };
+    let mut hosts = Vec::new();
+    while (hosts.len() as u32) < allowed {
+        let Some(host) = best_host(world, job_ix, zone) else { break };
+        put(world, job_ix, host);
+        hosts.push(host);
+    }
+    if gang && (hosts.len() as u32) < tasks {
+        for host in hosts.drain(..) {
+            undo(world, job_ix, host);
+        }
+    }
+    hosts
+}
+
+/// One scheduling round: fills the machines' free room in the design's order. Quotas, zones and
+/// allowed machines are kept to; the world is updated with what was placed.
+pub fn place(world: &mut World) -> Vec<Placement> {
+    let mut all: Vec<Placement> = Vec::new();
+    for turn in turns(&world.jobs, world.now) {
+        let hosts = place_job(world, turn.job, turn.tasks);
+        if !hosts.is_empty() {
+            all.push(Placement { job: turn.job, hosts });
+        }
+    }
+    all
+}
+
+/// Whether the job can run at all: a task fits an allowed machine type, and its team's limit allows
+/// one task of an array or all tasks of a gang. The error says why not.
+pub fn fits_somewhere(job: &JobView, team: &TeamView, types: usize) -> Result<(), String> {
+    if !(0..types).any(|f| job.flavors.get(f).copied().unwrap_or(false)) {
+        return Err("a task fits no allowed machine type".into());
+    }
+    let fresh = TeamView { used: crate::Room::default(), ..team.clone() };
+    let least = if job.gang { job.pieces } else { 1 };
+    if fresh.allows(&job.need) < least {
+        return Err("the job needs more than its team's limit".into());
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+    use crate::Room;
+    use hookway_wire::{Flavor, Rank};
+
+    pub(crate) fn job(cpus: f64, pieces: u32) -> JobView {
+        JobView {
+            team: 0,
+            rank: Rank::Normal,
+            gang: false,
+            pieces,
+            need: Room { cpus, gpus: 0.0, ram: 1.0 },
+            flavors: vec![true],
+            yard: None,
+            together: false,
+            zone_cap: pieces,
+            loaners: true,
+            image: 1,
+            image_gb: 1.0,
+            saves: false,
+            submitted: 0.0,
+            due: None,
+            own_deadline: false,
+            guess: 10.0,
+            finished: 0,
+            mean: None,
+            unfinished: pieces,
+            running: 0,
+            startable: pieces,
+            per_zone: vec![0; 3],
+            waiting_since: 0.0,
+        }
+    }
+
+    pub(crate) fn host(yard: usize) -> HostView {
+        let total = Room { cpus: 4.0, gpus: 0.0, ram: 16.0 };
+        HostView {
+            flavor: 0,
+            yard,
+            loaner: false,
+            total,
+            free: total,
+            images: vec![],
+            open: true,
+            booting: false,
+            kept_for: None,
+            held: vec![],
+        }
+    }
+
+    pub(crate) fn world(jobs: Vec<JobView>, hosts: Vec<HostView>) -> World {
+        World {
+            now: 0.0,
+            jobs,
+            hosts,
+            teams: vec![TeamView::default()],
+            flavors: vec![Flavor {
+                label: "small".into(),
+                vcpus: 4.0,
+                gpus: 0.0,
+                ram_gb: 16.0,
+                local_gb: 50.0,
+                fetch_gb_per_s: 0.1,
+                hourly: 1.0,
+                market_price: Some(0.3),
+                ready_s: 20.0,
+                yards: vec!["a".into(), "b".into(), "c".into()],
+            }],
+        }
+    }
+
+    #[test]
+    fn a_gang_starts_whole_or_not_at_all() {
+        let gang = JobView { gang: true, ..job(3.0, 3) };
+        let mut w = world(vec![gang.clone()], vec![host(0), host(1)]);
+        assert_eq!(place(&mut w), []);
+        assert_eq!(w.hosts[0].free.cpus, 4.0, "nothing stays reserved");
+        let mut w = world(vec![gang], vec![host(0), host(1), host(2)]);
+        assert_eq!(place(&mut w)[0].hosts.len(), 3);
+    }
+
+    #[test]
+    fn together_stays_in_one_zone_and_spread_does_not() {
+        let together = JobView { together: true, gang: true, ..job(3.0, 2) };
+        let mut w = world(vec![together], vec![host(0), host(1), host(1)]);
+        assert_eq!(place(&mut w)[0].hosts, [1, 2]);
+        let spread = JobView { zone_cap: 3, gang: true, ..job(1.0, 5) };
+        let mut w = world(vec![spread.clone()], vec![host(0), host(0)]);
+        assert_eq!(place(&mut w), []);
+        let mut w = world(vec![spread], vec![host(0), host(1)]);
+        let placed = place(&mut w).remove(0).hosts;
+        assert_eq!(placed.len(), 5);
+        assert!(placed.iter().filter(|h| **h == 0).count() <= 3);
+        assert!(placed.iter().filter(|h| **h == 1).count() <= 3);
+    }
+
+    #[test]
+    fn quotas_zones_and_kinds_are_kept() {
+        let mut w = world(vec![job(1.0, 10)], vec![host(0), host(1)]);
+        w.teams[0].limit = (3.0, 0.0);
+        assert_eq!(place(&mut w).iter().map(|p| p.hosts.len()).sum::<usize>(), 3);
+        let picky = JobView { yard: Some(1), loaners: false, ..job(1.0, 10) };
+        let spot = HostView { loaner: true, ..host(1) };
+        let mut w = world(vec![picky], vec![host(0), spot, host(1)]);
+        let placed = place(&mut w);
+        assert!(placed.iter().flat_map(|p| &p.hosts).all(|h| *h == 2));
+        assert_eq!(placed.iter().map(|p| p.hosts.len()).sum::<usize>(), 4);
+    }
+
+    #[test]
+    fn machines_that_hold_the_image_are_preferred() {
+        let warm = HostView { images: vec![1], ..host(1) };
+        let mut w = world(vec![job(1.0, 1)], vec![host(0), warm]);
+        assert_eq!(place(&mut w)[0].hosts, [1]);
+    }
+
+    #[test]
+    fn what_can_never_run_is_told() {
+        let team = TeamView { limit: (4.0, 0.0), ..TeamView::default() };
+        assert!(fits_somewhere(&job(3.0, 10), &team, 1).is_ok());
+        assert!(fits_somewhere(&job(5.0, 1), &team, 1).is_err());
+        assert!(fits_somewhere(&JobView { gang: true, ..job(3.0, 2) }, &team, 1).is_err());
+        assert!(
+            fits_somewhere(&JobView { flavors: vec![false], ..job(1.0, 1) }, &team, 1).is_err()
+        );
+    }
+}
--- /dev/null
+++ b/crates/policy/src/preempt.rs
@@ -0,0 +1,197 @@
+use crate::{HeldView, HostView, Room, World};
+use hookway_constants as constants;
+
+/// Tasks to stop so that a job finds room.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Eviction {
+    /// The job that the room is for.
+    pub job: usize,
+    /// Machines to keep for it until it starts.
+    pub hosts: Vec<usize>,
+    /// Tasks to stop: machine and the caller's number.
+    pub victims: Vec<(usize, u64)>,
+}
+
+/// What stopping a task throws away, in CPU seconds; work that saves loses next to nothing.
+fn loss(world: &World, held: &HeldView) -> f64 {
+    let job = &world.jobs[held.job];
+    let seconds = if job.saves { held.elapsed.min(5.0) } else { held.elapsed };
+    // A gang loses all its tasks with one.
+    let tasks = if job.gang { f64::from(job.pieces) } else { 1.0 };
+    (1.0 + seconds) * held.need.cpus.max(0.1) * tasks
+}
+
+fn may_evict(world: &World, job: usize, held: &HeldView) -> bool {
+    let (mine, other) = (&world.jobs[job], &world.jobs[held.job]);
+    if other.rank < mine.rank {
+        return true;
+    }
+    // A team gets its guarantee from what others run beyond theirs.
+    if mine.team == other.team {
+        return false;
+    }
+    let covered = world.teams.get(mine.team).is_some_and(|t| t.guarantee_covers(&mine.need));
+    covered && world.teams.get(other.team).is_some_and(|t| t.beyond_guarantee())
+}
+
+/// The cheapest set of tasks whose end makes room for one task of `job` on `host`.
+fn on_host(world: &World, job: usize, host: &HostView, free: Room) -> Option<(f64, Vec<u64>)> {
+    let need = world.jobs[job].need;
+    let mut room = free;
+    for held in host.held.iter().filter(|h| h.leaving) {
+        room.give(&held.need);
+    }
+    let mut candidates: Vec<(f64, &HeldView)> = host
+        .held
+        .iter()
+        .filter(|h| !h.leaving && may_evict(world, job, h))
+        .map(|h| (loss(world, h), h))
+        .collect();
+    candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut cost = 0.0;
+    let mut victims = Vec::new();
+    for (price, held) in candidates {
+        if room.fits(&need) {
+            break;
+        }
+        room.give(&held.need);
+        cost += price;
+        victims.push(held.tag);
+    }
+    room.fits(&need).then_some((cost, victims))
+}
+
+/// Finds room for waiting work that may push other work aside: work of higher rank, and work within
+/// its team's guarantee. Only what the job needs at least is made room for: a gang whole, an array
+/// one task a round.
+pub fn evict(world: &World) -> Vec<Eviction> {
+    let mut waiting: Vec<usize> = (0..world.jobs.len())
+        .filter(|i| {
+            let job = &world.jobs[*i];
+            let short = if job.gang { job.startable == job.pieces } else { job.unseen() };
+            job.startable > 0
+                && short
+                && world.now - job.waiting_since >= constants::PREEMPT_AFTER_MS as f64 / 1000.0
+        })
+        .collect();
+    waiting.sort_by(|a, b| {
+        let (a, b) = (&world.jobs[*a], &world.jobs[*b]);
+        b.rank.cmp(&a.rank).then(a.submitted.total_cmp(&b.submitted))
+    });
+    let mut taken: Vec<bool> = vec![false; world.hosts.len()];
+    let mut all = Vec::new();
+    for job_ix in waiting {
+        let job = &world.jobs[job_ix];
+        let tasks = if job.gang { job.startable } else { 1 };
+        let team_allows = world.teams.get(job.team).is_none_or(|t| t.allows(&job.need) >= tasks);
+        if !team_allows {
+            continue;
+        }
+        if let Some(found) = evict_for(world, job_ix, tasks, &taken) {
+            for host in &found.hosts {
+                taken[*host] = true;
+            }
+            all.push(found);
+        }
+    }
+    all
+}
+
+fn evict_for(world: &World, job_ix: usize, tasks: u32, taken: &[bool]) -> Option<Eviction> {
+    let job = &world.jobs[job_ix];
+    let mut zones: Vec<Option<usize>> = vec![None];
+    if job.together {
+        zones = (0..job.per_zone.len()).map(Some).collect();
+    }
+    let mut best: Option<(f64, Eviction)> = None;
+    for zone in zones {
+        let mut cost = 0.0;
+        let mut found = Eviction { job: job_ix, hosts: vec![], victims: vec![] };
+        let mut used = taken.to_vec();
+        let mut per_zone = job.per_zone.clone();
+        let mut left = tasks;
+        while left > 0 {
+            let mut pick: Option<(f64, usize, Vec<u64>)> = None;
+            for (i, host) in world.hosts.iter().enumerate() {
+                let closed = used[i]
+                    || !host.open
+                    || host.booting
+                    || host.kept_for.is_some_and(|k| k != job_ix)
+                    || zone.is_some_and(|z| z != host.yard)
+                    || !job.allows(host.flavor, host.yard, host.loaner)
+                    || per_zone.get(host.yard).copied().unwrap_or(0) >= job.zone_cap;
+                if closed {
+                    continue;
+                }
+                if let Some((price, victims)) = on_host(world, job_ix, host, host.free)
+                    && pick.as_ref().is_none_or(|(p, _, _)| price < *p)
+                {
+                    pick = Some((price, i, victims));
+                }
+            }
+            let Some((price, host, victims)) = pick else { break };
+            used[host] = true;
+            cost += price;
+            // Whatever else fits on the machine once it is clear goes there too.
+            let fits = world.hosts[host].free.count(&job.need).max(1).min(left);
+            left -= fits;
+            if let Some(n) = per_zone.get_mut(world.hosts[host].yard) {
+                *n += fits;
+            }
+            found.hosts.push(host);
+            found.victims.extend(victims.into_iter().map(|v| (host, v)));
+        }
+        if left == 0 && best.as_ref().is_none_or(|(b, _)| cost < *b) {
+            best = Some((cost, found));
+        }
+    }
+    best.map(|(_, found)| found)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::JobView;
+    use crate::place::tests::{host, job, world};
+    use hookway_wire::Rank;
+
+    fn full(job: usize, elapsed: f64) -> HostView {
+        let mut h = host(0);
+        h.free = Room::default();
+        h.held = (0..4)
+            .map(|n| HeldView {
+                tag: n,
+                job,
+                need: Room { cpus: 1.0, gpus: 0.0, ram: 4.0 },
+                elapsed,
+                leaving: false,
+            })
+            .collect();
+        h
+    }
+
+    #[test]
+    fn higher_rank_pushes_aside_the_cheapest_lower_rank() {
+        let gang = JobView { gang: true, rank: Rank::High, ..job(3.0, 1) };
+        let mut w = world(vec![gang, job(1.0, 8)], vec![full(1, 30.0), full(1, 3.0)]);
+        w.now = 10.0;
+        let found = evict(&w);
+        assert_eq!(found.len(), 1);
+        assert_eq!(found[0].hosts, [1]);
+        assert_eq!(found[0].victims.len(), 3);
+        w.jobs[0].rank = Rank::Normal;
+        assert_eq!(evict(&w), [], "equal rank is left alone");
+    }
+
+    #[test]
+    fn a_guarantee_takes_back_what_others_borrow() {
+        let mine = JobView { team: 1, ..job(1.0, 1) };
+        let mut w = world(vec![mine, job(1.0, 8)], vec![full(1, 3.0)]);
+        w.now = 10.0;
+        w.teams[0].used = Room { cpus: 4.0, gpus: 0.0, ram: 0.0 };
+        w.teams.push(crate::TeamView { guaranteed: (2.0, 0.0), ..Default::default() });
+        assert_eq!(evict(&w).len(), 1);
+        w.teams[0].guaranteed = (4.0, 0.0);
+        assert_eq!(evict(&w), [], "work within its own guarantee stays");
+    }
+}
--- /dev/null
+++ b/crates/policy/src/room.rs
@@ -0,0 +1,66 @@
+use hookway_wire::{Flavor, JobSpec};
+use serde::{Deserialize, Serialize};
+
+/// Tolerance when amounts are compared, so that sums of decimals don't refuse an exact fit.
+const EPSILON: f64 = 1e-6;
+
+/// An amount of what a machine offers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    /// CPUs.
+    pub cpus: f64,
+    /// GPUs.
+    pub gpus: f64,
+    /// Memory, GB.
+    pub ram: f64,
+}
+
+impl Room {
+    /// What one task of a job takes.
+    pub fn of_task(spec: &JobSpec) -> Self {
+        Self { cpus: spec.vcpus, gpus: spec.gpus, ram: spec.ram_gb }
+    }
+
+    /// What a machine of a type offers.
+    pub fn of_flavor(flavor: &Flavor) -> Self {
+        Self { cpus: flavor.vcpus, gpus: flavor.gpus, ram: flavor.ram_gb }
+    }
+
+    /// Whether `need` fits in.
+    pub fn fits(&self, need: &Self) -> bool {
+        need.cpus <= self.cpus + EPSILON
+            && need.gpus <= self.gpus + EPSILON
+            && need.ram <= self.ram + EPSILON
+    }
+
+    /// Takes `need` away.
+    pub fn take(&mut self, need: &Self) {
+        self.cpus -= need.cpus;
+        self.gpus -= need.gpus;
+        self.ram -= need.ram;
+    }
+
+    /// Adds `need`.
+    pub fn give(&mut self, need: &Self) {
+        self.cpus += need.cpus;
+        self.gpus += need.gpus;
+        self.ram += need.ram;
+    }
+
+    /// How many times `need` fits in.
+    pub fn count(&self, need: &Self) -> u32 {
+        let times = |have: f64, want: f64| {
+            if want <= 0.0 { f64::INFINITY } else { ((have + EPSILON) / want).floor().max(0.0) }
+        };
+        let least = times(self.cpus, need.cpus)
+            .min(times(self.gpus, need.gpus))
+            .min(times(self.ram, need.ram));
+        if least >= f64::from(u32::MAX) { u32::MAX } else { least as u32 }
+    }
+
+    /// The largest share of `total` that `self` is, over what `total` has.
+    pub fn share_of(&self, total: &Self) -> f64 {
+        let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
+        part(self.cpus, total.cpus).max(part(self.gpus, total.gpus)).max(part(self.ram, total.ram))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/view.rs
@@ -0,0 +1,174 @@
+use crate::Room;
+use hookway_wire::{Flavor, Rank};
+
+/// What the policy knows of a job.
+#[derive(Debug, Clone)]
+pub struct JobView {
+    /// Index of its team.
+    pub team: usize,
+    /// Priority.
+    pub rank: Rank,
+    /// A gang starts whole or not at all.
+    pub gang: bool,
+    /// Number of tasks.
+    pub pieces: u32,
+    /// What one task takes.
+    pub need: Room,
+    /// Per machine type: whether a task may run on it.
+    pub flavors: Vec<bool>,
+    /// The only allowed zone.
+    pub yard: Option<usize>,
+    /// All tasks in one zone.
+    pub together: bool,
+    /// Most tasks in one zone.
+    pub zone_cap: u32,
+    /// Spot machines are allowed.
+    pub loaners: bool,
+    /// Number that stands for its image.
+    pub image: u32,
+    /// Size of the image, GB.
+    pub image_gb: f64,
+    /// Tasks keep progress when stopped.
+    pub saves: bool,
+    /// When it was submitted, s.
+    pub submitted: f64,
+    /// When it should be complete, s: its own deadline, or what the aims say of its class.
+    pub due: Option<f64>,
+    /// Whether `due` is the job's own deadline.
+    pub own_deadline: bool,
+    /// Owner's estimate of a task's time, s.
+    pub guess: f64,
+    /// Tasks that are finished.
+    pub finished: u32,
+    /// Mean time of those whose time is known, s; `None` until one has finished.
+    pub mean: Option<f64>,
+    /// Tasks that are not finished.
+    pub unfinished: u32,
+    /// Tasks that hold a place on some machine.
+    pub running: u32,
+    /// Tasks that could be placed now.
+    pub startable: u32,
+    /// Tasks that hold a place, per zone.
+    pub per_zone: Vec<u32>,
+    /// Since when tasks of it have been waiting for room, s.
+    pub waiting_since: f64,
+}
+
+impl JobView {
+    /// Whether nothing of it has run or runs.
+    pub fn unseen(&self) -> bool {
+        self.finished == 0 && self.running == 0
+    }
+
+    /// Mean task time, or the owner's estimate as a prior.
+    pub fn task_time(&self) -> f64 {
+        self.mean.unwrap_or(self.guess).max(0.1)
+    }
+
+    /// Whether a machine of this type, zone and kind is allowed at all.
+    pub fn allows(&self, flavor: usize, yard: usize, loaner: bool) -> bool {
+        self.flavors.get(flavor).copied().unwrap_or(false)
+            && self.yard.is_none_or(|y| y == yard)
+            && (self.loaners || !loaner)
+    }
+
+    /// Whether one more task may be in this zone, given where the others are.
+    pub fn zone_open(&self, yard: usize) -> bool {
+        let here = self.per_zone.get(yard).copied().unwrap_or(0);
+        if here >= self.zone_cap {
+            return false;
+        }
+        !self.together || self.per_zone.iter().enumerate().all(|(z, n)| z == yard || *n == 0)
+    }
+}
+
+/// A task on a machine, as far as making room is concerned.
+#[derive(Debug, Clone)]
+pub struct HeldView {
+    /// The caller's number for it.
+    pub tag: u64,
+    /// Its job.
+    pub job: usize,
+    /// What it takes.
+    pub need: Room,
+    /// How long it has been running, s.
+    pub elapsed: f64,
+    /// It is being stopped already, so its room comes free soon.
+    pub leaving: bool,
+}
+
+/// What the policy knows of a machine.
+#[derive(Debug, Clone)]
+pub struct HostView {
+    /// Machine type.
+    pub flavor: usize,
+    /// Zone.
+    pub yard: usize,
+    /// Spot machine.
+    pub loaner: bool,
+    /// All it has.
+    pub total: Room,
+    /// What is free.
+    pub free: Room,
+    /// Images that it is thought to hold.
+    pub images: Vec<u32>,
+    /// Takes new tasks.
+    pub open: bool,
+    /// Still booting: counts for the fleet, not for placement.
+    pub booting: bool,
+    /// Kept for this job.
+    pub kept_for: Option<usize>,
+    /// What is on it.
+    pub held: Vec<HeldView>,
+}
+
+/// A team's use and bounds.
+#[derive(Debug, Clone, Default)]
+pub struct TeamView {
+    /// What its tasks hold.
+    pub used: Room,
+    /// Guaranteed CPUs and GPUs (0: none).
+    pub guaranteed: (f64, f64),
+    /// Most CPUs and GPUs (0: no limit).
+    pub limit: (f64, f64),
+}
+
+impl TeamView {
+    /// How many more tasks the limit allows.
+    pub fn allows(&self, need: &Room) -> u32 {
+        let left = |limit: f64, used: f64| if limit > 0.0 { limit - used } else { f64::INFINITY };
+        Room {
+            cpus: left(self.limit.0, self.used.cpus),
+            gpus: left(self.limit.1, self.used.gpus),
+            ram: f64::INFINITY,
+        }
+        .count(need)
+    }
+
+    /// Whether it uses more than it is guaranteed.
+    pub fn beyond_guarantee(&self) -> bool {
+        self.used.cpus > self.guaranteed.0 + 1e-6 || self.used.gpus > self.guaranteed.1 + 1e-6
+    }
+
+    /// Whether `more` still lies within the guarantee.
+    pub fn guarantee_covers(&self, more: &Room) -> bool {
+        self.guaranteed.0 > 0.0
+            && self.used.cpus + more.cpus <= self.guaranteed.0 + 1e-6
+            && self.used.gpus + more.gpus <= self.guaranteed.1 + 1e-6
+    }
+}
+
+/// Everything that a decision looks at.
+#[derive(Debug, Clone, Default)]
+pub struct World {
+    /// Now, s.
+    pub now: f64,
+    /// Unfinished jobs.
+    pub jobs: Vec<JobView>,
+    /// Machines.
+    pub hosts: Vec<HostView>,
+    /// Teams.
+    pub teams: Vec<TeamView>,
+    /// Machine types.
+    pub flavors: Vec<Flavor>,
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for tests of hookway.
--- /dev/null
+++ b/crates/wire/src/cloud.rs
@@ -0,0 +1,111 @@
+use serde::{Deserialize, Serialize};
+
+/// A machine type.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Flavor {
+    /// Its name.
+    pub label: String,
+    /// CPUs.
+    pub vcpus: f64,
+    /// GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Memory, GB.
+    pub ram_gb: f64,
+    /// Space for images, GB.
+    #[serde(default)]
+    pub local_gb: f64,
+    /// Image fetch rate.
+    #[serde(default)]
+    pub fetch_gb_per_s: f64,
+    /// Price of an ordinary machine per hour.
+    pub hourly: f64,
+    /// Current price of a spot machine per hour.
+    #[serde(default)]
+    pub market_price: Option<f64>,
+    /// Nominal boot time, s.
+    pub ready_s: f64,
+    /// Zones that offer it.
+    pub yards: Vec<String>,
+}
+
+/// All machine types.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Flavors {
+    /// The types.
+    pub flavors: Vec<Flavor>,
+}
+
+/// A rental request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct RentRequest {
+    /// Its name, never used again.
+    pub hire: String,
+    /// Machine type.
+    pub flavor: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot or ordinary.
+    pub loaners: bool,
+    /// Machines asked for.
+    pub how_many: u32,
+}
+
+/// Machines, by name: the answer to a rental, the body of a deletion.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct HostNames {
+    /// The names.
+    pub hosts: Vec<String>,
+}
+
+/// The state of a machine in the cloud's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    /// Not up yet, as far as the list knows.
+    Booting,
+    /// Up.
+    Running,
+    /// Stopped on its own.
+    Failed,
+    /// A state that this version does not know.
+    #[serde(other)]
+    Other,
+}
+
+/// A machine in the cloud's list.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct ListedHost {
+    /// Its name.
+    pub name_id: String,
+    /// Where its worker listens.
+    #[serde(default)]
+    pub addr: Option<String>,
+    /// Machine type.
+    pub flavor: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot or ordinary.
+    pub loaners: bool,
+    /// State.
+    pub status: HostState,
+    /// Age since the rental request, s.
+    #[serde(default)]
+    pub age_s: f64,
+}
+
+/// A page of the machine list.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct HostList {
+    /// The machines.
+    pub hosts: Vec<ListedHost>,
+    /// Whether more follow.
+    #[serde(default)]
+    pub has_next: bool,
+}
--- /dev/null
+++ b/crates/wire/src/job.rs
@@ -0,0 +1,280 @@
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Largest number of tasks in a job.
+pub const MAX_PIECES: u32 = 100_000;
+
+/// A job's id in the form `req-000412`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobId(String);
+
+impl JobId {
+    /// Reads an id; `None` if it has the wrong form.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.strip_prefix("req-")?;
+        let fits = (6..=18).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit());
+        fits.then(|| Self(text.to_owned()))
+    }
+
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A task's id: `req-000412/3` is task 3 of its job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// The task's number, from 0.
+    pub index: u32,
+}
+
+impl TaskId {
+    /// Reads a task id.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.rsplit_once('/')?;
+        Some(Self { job: JobId::parse(job)?, index: index.parse().ok()? })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+/// How a job's tasks belong together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Shape {
+    /// Independent tasks.
+    Array,
+    /// A gang: all tasks at the same time or none.
+    Group,
+}
+
+/// A job's priority, lowest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Rank {
+    /// Gives way to everything.
+    Low,
+    /// The usual.
+    Normal,
+    /// Ahead of the usual.
+    High,
+    /// Ahead of everything.
+    Production,
+}
+
+/// A job as its user submits it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct JobSpec {
+    /// Unique id, chosen by the user.
+    pub name_id: JobId,
+    /// The class of jobs that it belongs to.
+    pub lane: String,
+    /// The team.
+    pub owner: String,
+    /// Array or gang.
+    pub shape: Shape,
+    /// Priority.
+    pub rank: Rank,
+    /// Number of tasks.
+    pub pieces: u32,
+    /// CPUs of one task.
+    pub vcpus: f64,
+    /// GPUs of one task.
+    pub gpus: f64,
+    /// Memory of one task, GB.
+    pub ram_gb: f64,
+    /// The image that a machine needs.
+    pub bundle: String,
+    /// The image's size, GB.
+    pub image_gb: f64,
+    /// Allowed machine types; `None` for any.
+    #[serde(default)]
+    pub flavors: Option<Vec<String>>,
+    /// The only allowed zone.
+    #[serde(default)]
+    pub yard: Option<String>,
+    /// All tasks in the same zone.
+    pub together: bool,
+    /// At most half of the tasks in one zone.
+    pub spread: bool,
+    /// Whether spot machines are allowed.
+    pub loaners: bool,
+    /// The owner's estimate of a task's run time, s.
+    pub guess_s: f64,
+    /// Checkpoint interval, s; 0 if the task never saves.
+    pub snapshot_every_s: f64,
+    /// Time to save when stopped, s.
+    pub snapshot_s: f64,
+    /// Deadline from submission, s.
+    #[serde(default)]
+    pub due_s: Option<f64>,
+}
+
+impl JobSpec {
+    /// Reads and checks a submission. The error says what is wrong, in plain words.
+    pub fn parse(body: &[u8]) -> Result<Self, String> {
+        let value: serde_json::Value =
+            serde_json::from_slice(body).map_err(|e| format!("the body is not JSON: {e}"))?;
+        if !value.is_object() {
+            return Err("the body is not a JSON object".into());
+        }
+        // Read the text again rather than the value: a field given twice is refused that way.
+        let spec: Self =
+            serde_json::from_slice(body).map_err(|e| format!("the job is invalid: {e}"))?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if JobId::parse(self.name_id.as_str()).is_none() {
+            return Err("NameId must have the form req-000412".into());
+        }
+        if self.pieces == 0 || self.pieces > MAX_PIECES {
+            return Err(format!("Pieces must be from 1 to {MAX_PIECES}"));
+        }
+        if !(self.vcpus.is_finite() && self.vcpus > 0.0) {
+            return Err("Vcpus must be a number above 0".into());
+        }
+        let amounts = [
+            ("Gpus", self.gpus),
+            ("RamGb", self.ram_gb),
+            ("ImageGb", self.image_gb),
+            ("GuessS", self.guess_s),
+            ("SnapshotEveryS", self.snapshot_every_s),
+            ("SnapshotS", self.snapshot_s),
+            ("DueS", self.due_s.unwrap_or(0.0)),
+        ];
+        for (name, amount) in amounts {
+            if !(amount.is_finite() && amount >= 0.0) {
+                return Err(format!("{name} must be a number and not negative"));
+            }
+        }
+        for (name, text) in [("Lane", &self.lane), ("Owner", &self.owner), ("Bundle", &self.bundle)]
+        {
+            if text.is_empty() {
+                return Err(format!("{name} must not be empty"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether this is a gang.
+    pub fn is_gang(&self) -> bool {
+        self.shape == Shape::Group
+    }
+
+    /// Most tasks that one zone may hold at a time.
+    pub fn zone_cap(&self) -> u32 {
+        if self.spread { self.pieces.div_ceil(2) } else { self.pieces }
+    }
+
+    /// Whether tasks keep progress when they are stopped.
+    pub fn saves(&self) -> bool {
+        self.snapshot_every_s > 0.0
+    }
+}
+
+/// What a user hears of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobState {
+    /// No task runs.
+    Queued,
+    /// Some task runs.
+    Running,
+    /// All tasks are done.
+    Done,
+    /// Its user cancelled it.
+    Withdrawn,
+}
+
+impl JobState {
+    /// Whether the state can't change any more.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Done | Self::Withdrawn)
+    }
+}
+
+/// The answer to a submission, a status request and a withdrawal.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobStatus {
+    /// The job.
+    #[serde(rename = "NameId")]
+    pub name_id: JobId,
+    /// Its state.
+    #[serde(rename = "Status")]
+    pub status: JobState,
+    /// Completed tasks.
+    #[serde(default)]
+    pub done: u32,
+    /// Running tasks.
+    #[serde(default)]
+    pub running: u32,
+    /// The team (an addition of hookway).
+    #[serde(rename = "Owner", default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<String>,
+    /// The controller that commands the job (an addition of hookway).
+    #[serde(rename = "Commander", default, skip_serializing_if = "Option::is_none")]
+    pub commander: Option<String>,
+    /// Why attempts ended, in plain words, newest last (an addition of hookway).
+    #[serde(rename = "Notes", default, skip_serializing_if = "Vec::is_empty")]
+    pub notes: Vec<String>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"NameId":"req-000412","Lane":"train","Owner":"vision","Shape":"group","Rank":"high","Pieces":16,
+     "Vcpus":8.0,"Gpus":1,"RamGb":64.0,"Bundle":"img-07","ImageGb":6.2,
+     "Flavors":["g8"],"Yard":null,"Together":true,"Spread":false,"Loaners":true,"Extra":[1],
+     "GuessS":240.0,"SnapshotEveryS":30.0,"SnapshotS":4.0,"DueS":900.0}"#;
+
+    #[test]
+    fn a_good_job_is_read_and_null_may_be_missing() {
+        let job = JobSpec::parse(GOOD.as_bytes()).unwrap();
+        assert_eq!((job.pieces, job.rank, job.shape), (16, Rank::High, Shape::Group));
+        let short = GOOD.replace(r#""Yard":null,"#, "").replace(r#","DueS":900.0"#, "");
+        let job = JobSpec::parse(short.as_bytes()).unwrap();
+        assert_eq!((job.yard, job.due_s), (None, None));
+    }
+
+    #[test]
+    fn bad_jobs_are_refused_with_a_reason() {
+        for (from, to) in [
+            ("req-000412", "job-1"),
+            ("\"Pieces\":16", "\"Pieces\":0"),
+            ("\"Pieces\":16", "\"Pieces\":100001"),
+            ("\"Pieces\":16", "\"Pieces\":1.5"),
+            ("\"Pieces\":16", "\"Pieces\":\"16\""),
+            ("\"Vcpus\":8.0", "\"Vcpus\":-1"),
+            ("\"Vcpus\":8.0", "\"Vcpus\":NaN"),
+            ("\"Vcpus\":8.0", "\"Vcpus\":1e999"),
+            ("\"RamGb\":64.0,", ""),
+            ("\"high\"", "\"urgent\""),
+            ("\"group\"", "\"gang\""),
+            ("\"DueS\":900.0", "\"DueS\":-5"),
+            ("\"Together\":true", "\"Together\":1"),
+        ] {
+            let body = GOOD.replace(from, to);
+            assert!(JobSpec::parse(body.as_bytes()).is_err(), "{to} was taken");
+        }
+        assert!(JobSpec::parse(b"[1]").is_err());
+        assert!(JobSpec::parse(b"").is_err());
+    }
+}
--- /dev/null
+++ b/crates/wire/src/worker.rs
@@ -0,0 +1,181 @@
+use serde::{Deserialize, Serialize};
+
+/// The state of a task on a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PieceState {
+    /// Waiting for its image.
+    Pulling,
+    /// Gang task, waits for the others.
+    Waiting,
+    /// Running.
+    Running,
+    /// Saving before it stops.
+    Saving,
+    /// Over; see the cause.
+    Ended,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Stopped,
+    /// Another task of the gang is gone.
+    Peers,
+    /// The gang was not complete in time.
+    Incomplete,
+    /// Failed.
+    Error,
+    /// Start refused: no room.
+    NoRoom,
+    /// Start refused: the task is there with another attempt.
+    Busy,
+    /// Start refused: no such job.
+    Unknown,
+    /// A cause that this version does not know.
+    #[serde(other)]
+    Other,
+}
+
+impl Cause {
+    /// The cause in plain words, for users.
+    pub fn plain(self) -> &'static str {
+        match self {
+            Self::Done => "completed",
+            Self::Stopped => "was stopped to make room or to clear the machine",
+            Self::Peers => "ended because another task of its gang was lost",
+            Self::Incomplete => "gave up because its gang did not come together in time",
+            Self::Error => "failed with an error of its own or of its machine",
+            Self::NoRoom => "was refused by its machine for lack of room",
+            Self::Busy => "was refused because an older attempt was still there",
+            Self::Unknown => "was refused because the machine did not find the job",
+            Self::Other => "ended for a reason that the machine did not explain",
+        }
+    }
+}
+
+/// One task in a worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct PieceReport {
+    /// The task, as `req-000412/3`.
+    pub piece: String,
+    /// The attempt.
+    pub r#try: u64,
+    /// Its state.
+    pub status: PieceState,
+    /// Why it ended.
+    #[serde(default)]
+    pub cause: Option<Cause>,
+    /// Whether its progress was saved.
+    #[serde(default)]
+    pub saved: Option<bool>,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct CheckIn {
+    /// The machine.
+    pub host: String,
+    /// Where its worker listens.
+    pub addr: String,
+    /// Machine type.
+    pub flavor: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot machine.
+    pub loaners: bool,
+    /// Session.
+    pub tenure: u64,
+    /// Sequence number.
+    pub tick: u64,
+    /// Highest token seen.
+    #[serde(default)]
+    pub baton: u64,
+    /// Seconds until the cloud takes the machine.
+    #[serde(default)]
+    pub eviction_s: Option<f64>,
+    /// All tasks on the machine.
+    #[serde(default)]
+    pub pieces: Vec<PieceReport>,
+}
+
+/// A command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "Verb", rename_all = "lowercase")]
+pub enum Order {
+    /// Start a task.
+    #[serde(rename_all = "PascalCase")]
+    Run {
+        /// The task.
+        piece: String,
+        /// The attempt.
+        r#try: u64,
+    },
+    /// Stop a task.
+    #[serde(rename_all = "PascalCase")]
+    Kill {
+        /// The task.
+        piece: String,
+        /// The attempt.
+        r#try: u64,
+        /// Time it has to save, s.
+        wind_down_s: f64,
+    },
+    /// Remove an ended task from the reports.
+    #[serde(rename_all = "PascalCase")]
+    Reap {
+        /// The task.
+        piece: String,
+        /// The attempt.
+        r#try: u64,
+    },
+}
+
+/// The answer to a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct CheckInAnswer {
+    /// The token.
+    pub baton: u64,
+    /// Commands, in order.
+    pub orders: Vec<Order>,
+}
+
+/// The answer of a node that is not the one to report to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct ReportElsewhere {
+    /// The node to report to, if it is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub foreman: Option<String>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn orders_and_reports_look_as_the_protocol_says() {
+        let run = Order::Run { piece: "req-000412/4".into(), r#try: 2 };
+        let text = serde_json::to_string(&run).unwrap();
+        assert_eq!(text, r#"{"Verb":"run","Piece":"req-000412/4","Try":2}"#);
+        let kill = Order::Kill { piece: "req-000377/1".into(), r#try: 1, wind_down_s: 10.0 };
+        let text = serde_json::to_string(&kill).unwrap();
+        assert_eq!(text, r#"{"Verb":"kill","Piece":"req-000377/1","Try":1,"WindDownS":10.0}"#);
+        let report: CheckIn = serde_json::from_str(
+            r#"{"Host":"m-000231","Addr":"10.1.0.232:9000","Flavor":"g8","Yard":"a","Loaners":true,
+     "Tenure":1,"Tick":88,"Baton":41,"EvictionS":null,
+     "Pieces":[{"Piece":"req-000412/3","Try":2,"Status":"running"},
+              {"Piece":"req-000398/0","Try":1,"Status":"ended","Cause":"no_room"}]}"#,
+        )
+        .unwrap();
+        assert_eq!(report.pieces[1].cause, Some(Cause::NoRoom));
+        assert_eq!(report.eviction_s, None);
+    }
+}
