--- /dev/null
+++ b/crates/controller/tests/ledger.rs
@@ -0,0 +1,574 @@
+//! The ledger against a state service in memory and scripted workers, with a clock that the test
+//! moves. Each test names the failure that it guards against.
+
+use hookway_controller::config::{OperatorSettings, Settings};
+use hookway_controller::ledger::{
+    CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal, lease_over_ms,
+};
+use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key, roster_key};
+use hookway_testkit::{MemoryStore, ScriptedWorker};
+use hookway_wire::{
+    Cause, Change, Flavor, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order,
+    Transaction,
+};
+
+const SETTINGS: &str = r#"
+label = "worker-0"
+domain = "a"
+api_addr = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+[outside]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[settings]
+zones = ["a", "b"]
+[[settings.teams]]
+name = "team"
+[[settings.teams]]
+name = "tight"
+cpus_max = 4.0
+[settings.workers]
+report_s = 2.0
+lease_s = 14.0
+gang_wait_s = 35.0
+gang_peer_s = 4.0
+cancel_s = 44.0
+[settings.state]
+rps = 200.0
+write_rps = 1000.0
+value_kb = 8.0
+txn_ops = 8
+[settings.cloud]
+rps = 4.0
+list_lag_s = 4.0
+"#;
+
+fn flavors() -> Vec<Flavor> {
+    vec![Flavor {
+        label: "small".into(),
+        vcpus: 4.0,
+        gpus: 0.0,
+        ram_gb: 16.0,
+        local_gb: 50.0,
+        fetch_gb_per_s: 0.5,
+        hourly: 1.0,
+        market_price: Some(0.3),
+        ready_s: 20.0,
+        yards: vec!["a".into(), "b".into()],
+    }]
+}
+
+fn job(id: &str, shape: &str, pieces: u32) -> JobSpec {
+    let text = format!(
+        r#"{{"NameId":"{id}","Lane":"train","Owner":"team","Shape":"{shape}","Rank":"normal",
+        "Pieces":{pieces},"Vcpus":3.0,"Gpus":0,"RamGb":1,"Bundle":"img","ImageGb":1,
+        "Together":false,"Spread":false,"Loaners":true,"GuessS":10,"SnapshotEveryS":0,
+        "SnapshotS":0}}"#
+    );
+    JobSpec::parse(text.as_bytes()).expect("a sound job")
+}
+
+/// A controller that leads, its store, its clock.
+struct Play {
+    ledger: Ledger,
+    store: MemoryStore,
+    now: u64,
+}
+
+fn setup() -> Setup {
+    Setup {
+        label: "worker-0".into(),
+        params: Settings::parse(SETTINGS).expect("sound settings").settings,
+        operator: OperatorSettings::default(),
+    }
+}
+
+impl Play {
+    fn start() -> Self {
+        Self::lead(MemoryStore::default(), 1, 0)
+    }
+
+    /// A node wins the leadership for a term and reads everything.
+    fn lead(mut store: MemoryStore, term: u64, now: u64) -> Self {
+        let stamp = store.put(LEAD_NOW, serde_json::json!({ "term": term }));
+        let loaded = Loaded {
+            jobs: store.list("j/"),
+            progress: store.list("p/"),
+            minimums: store.list("m/"),
+            roster: store.list("r/"),
+        };
+        let guard = Guard { key: LEAD_NOW.into(), stamp };
+        let at = Moment { now, wall: 1_000_000 + now };
+        let ledger = Ledger::new(setup(), term, guard, flavors(), loaded, at);
+        Self { ledger, store, now }
+    }
+
+    fn submit(&mut self, spec: JobSpec) -> JobId {
+        let id = spec.name_id.clone();
+        let record = JobRecord { spec, at_ms: 1_000_000 + self.now };
+        let value = serde_json::to_value(record).expect("a record");
+        self.store.put(&job_key(&id), value.clone());
+        let at = Moment { now: self.now, wall: 1_000_000 + self.now };
+        self.ledger.job_seen(&job_key(&id), value, at, false);
+        id
+    }
+
+    /// Carries out everything that the ledger wants written.
+    fn flush(&mut self) {
+        while let Some(commit) = self.ledger.next_commit(self.now) {
+            let result = match self.store.commit(&commit.transaction) {
+                Ok(epoch) => CommitResult::Applied(epoch),
+                Err(_) => {
+                    let keys = commit.keys();
+                    CommitResult::Unsure(
+                        keys.into_iter().map(|k| (k.clone(), self.store.get(&k))).collect(),
+                    )
+                }
+            };
+            self.ledger.committed(commit, result, self.now);
+        }
+    }
+
+    /// One report of a worker, answered; the commands.
+    fn beat(&mut self, worker: &mut ScriptedWorker) -> Vec<Order> {
+        let report = worker.report();
+        let answer = self.ledger.check_in(&report, self.now);
+        let orders = answer.as_ref().map(|a| a.orders.clone()).unwrap_or_default();
+        if let Some(answer) = answer {
+            worker.take(&answer);
+        }
+        self.flush();
+        orders
+    }
+
+    /// Time passes, with a scheduling round.
+    fn wait(&mut self, ms: u64) {
+        self.now += ms;
+        self.ledger.round(self.now);
+        self.flush();
+    }
+
+    /// Reports and rounds until things settle.
+    fn settle(&mut self, workers: &mut [&mut ScriptedWorker]) {
+        for _ in 0..4 {
+            for worker in workers.iter_mut() {
+                self.beat(worker);
+            }
+            self.wait(500);
+        }
+    }
+
+    fn state(&self, id: &JobId) -> JobState {
+        match self.ledger.status(id) {
+            Lookup::Known(status) => status.status,
+            other => panic!("{id}: {other:?}"),
+        }
+    }
+
+    fn stored_final(&self, id: &JobId) -> Option<String> {
+        let kv = self.store.get(&final_key(id))?;
+        kv.v.get("state").and_then(|s| s.as_str()).map(str::to_owned)
+    }
+}
+
+fn small(name: &str, yard: &str) -> ScriptedWorker {
+    ScriptedWorker::new(name, "small", yard)
+}
+
+#[test]
+fn a_job_runs_to_its_end_and_is_told_done_only_once_that_is_durable() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    let id = play.submit(job("req-000001", "array", 2));
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live(), ["req-000001/0"], "one task fits at a time");
+    assert_eq!(play.state(&id), JobState::Running);
+    w.end("req-000001/0", Cause::Done);
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live(), ["req-000001/1"]);
+    w.end("req-000001/1", Cause::Done);
+    let report = w.report();
+    let answer = play.ledger.check_in(&report, play.now).expect("an answer");
+    assert!(
+        !answer.orders.iter().any(|o| matches!(o, Order::Reap { .. })),
+        "the result is not durable yet"
+    );
+    assert_eq!(play.state(&id), JobState::Queued);
+    let commit = play.ledger.next_commit(play.now).expect("the end is to be written");
+    assert_eq!(play.ledger.status(&id), Lookup::Deciding);
+    let epoch = play.store.commit(&commit.transaction).expect("applied");
+    play.ledger.committed(commit, CommitResult::Applied(epoch), play.now);
+    assert_eq!(play.ledger.take_decided()[0].1.state, JobState::Done);
+    w.take(&answer);
+    play.now += 500;
+    let orders = play.beat(&mut w);
+    assert!(orders.iter().any(|o| matches!(o, Order::Reap { .. })));
+}
+
+#[test]
+fn no_start_before_the_machine_is_in_the_roster() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "array", 1));
+    let report = w.report();
+    let answer = play.ledger.check_in(&report, play.now).expect("an answer");
+    assert_eq!(answer.orders, [], "a crash now must not hide a started task");
+    w.take(&answer);
+    play.flush();
+    assert!(play.store.get(&roster_key("m-1")).is_some());
+    play.now += 500;
+    assert_eq!(play.beat(&mut w).len(), 1);
+}
+
+#[test]
+fn a_takeover_with_a_silent_machine_starts_nothing_twice() {
+    let mut play = Play::start();
+    let (mut near, mut cut) = (small("m-1", "a"), small("m-2", "b"));
+    play.submit(job("req-000001", "array", 2));
+    play.settle(&mut [&mut near, &mut cut]);
+    assert_eq!((near.live().len(), cut.live().len()), (1, 1));
+    let lost = cut.live()[0].clone();
+    // The old leader is cut off together with m-2. A new one takes over at 30 s.
+    let mut next = Play::lead(play.store.clone(), 2, 30_000);
+    let fresh = next.submit(job("req-000002", "array", 1));
+    let mut spare = small("m-3", "a");
+    for _ in 0..20 {
+        next.beat(&mut near);
+        next.beat(&mut spare);
+        next.wait(600);
+        let twice = near.live().contains(&lost) || spare.live().contains(&lost);
+        let over = next.now >= 30_000 + lease_over_ms(&setup().params);
+        assert!(!twice || over, "{lost} started at {} while m-2 may have it", next.now);
+    }
+    assert!(
+        spare.started.iter().any(|(t, _)| t.starts_with(fresh.as_str())),
+        "a job that nobody can have started does not wait"
+    );
+    spare.end("req-000002/0", Cause::Done);
+    for _ in 0..20 {
+        next.beat(&mut near);
+        next.beat(&mut spare);
+        next.wait(600);
+    }
+    assert!(spare.live().contains(&lost), "after the lease it runs again");
+}
+
+#[test]
+fn a_takeover_goes_on_at_once_when_all_machines_have_reported() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "array", 2));
+    play.settle(&mut [&mut w]);
+    let mut next = Play::lead(play.store.clone(), 2, 10_000);
+    assert!(!next.ledger.settled(next.now));
+    next.beat(&mut w);
+    assert!(next.ledger.settled(next.now));
+    assert_eq!(w.baton, 2, "the token rises with the term");
+    next.settle(&mut [&mut w]);
+    assert_eq!(w.live(), ["req-000001/0"], "what runs is left alone");
+    assert_eq!(w.started.len(), 1);
+    // The deposed leader's answer carries the lower token and is dropped.
+    let report = w.report();
+    let answer = play.ledger.check_in(&report, play.now + 1).expect("it does not know yet");
+    assert!(!w.take(&answer));
+}
+
+#[test]
+fn late_reports_change_nothing() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "array", 1));
+    play.beat(&mut w);
+    let early = w.report();
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live().len(), 1);
+    assert_eq!(play.ledger.check_in(&early, play.now), None, "held back by the network");
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.started.len(), 1);
+}
+
+#[test]
+fn a_session_that_is_surely_over_is_not_heard_again() {
+    let mut play = Play::start();
+    let (mut w, mut other) = (small("m-1", "a"), small("m-2", "a"));
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live().len(), 1);
+    let held_back = w.report();
+    for _ in 0..30 {
+        play.beat(&mut other);
+        play.wait(600);
+    }
+    assert_eq!(other.live(), ["req-000001/0"], "the silent machine's lease is over");
+    // The report arrives minutes late and still names the task.
+    assert_eq!(play.ledger.check_in(&held_back, play.now), None);
+    play.settle(&mut [&mut other]);
+    assert_eq!(other.live(), ["req-000001/0"]);
+    w.expire();
+    play.settle(&mut [&mut w, &mut other]);
+    assert_eq!(w.live().len(), 0);
+}
+
+#[test]
+fn a_command_whose_answer_was_lost_is_sent_again_and_runs_once() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "array", 1));
+    play.beat(&mut w);
+    play.wait(500);
+    let report = w.report();
+    let lost = play.ledger.check_in(&report, play.now).expect("an answer");
+    assert!(matches!(lost.orders[..], [Order::Run { .. }]));
+    play.now += 4_000;
+    play.beat(&mut w);
+    assert_eq!(w.started.len(), 1);
+    let before = play.now;
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.started.len(), 1, "since {before} it is known to be there");
+}
+
+#[test]
+fn a_deposed_leaders_late_transaction_fails() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    let id = play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut w]);
+    w.end("req-000001/0", Cause::Done);
+    let report = w.report();
+    play.ledger.check_in(&report, play.now);
+    let late = play.ledger.next_commit(play.now).expect("the end");
+    let mut next = Play::lead(play.store.clone(), 2, 9_000);
+    assert_eq!(next.ledger.withdraw(&id), Withdrawal::Pending);
+    next.flush();
+    assert!(next.store.commit(&late.transaction).is_err(), "the guard on the leader's key");
+    assert_eq!(next.stored_final(&id).as_deref(), Some("withdrawn"));
+    let keys = late.keys().into_iter().map(|k| (k.clone(), next.store.get(&k))).collect();
+    play.ledger.committed(late, CommitResult::Unsure(keys), play.now);
+    assert!(play.ledger.deposed());
+}
+
+#[test]
+fn a_lost_answer_to_a_commit_is_read_again() {
+    for applied in [true, false] {
+        let mut play = Play::start();
+        let mut w = small("m-1", "a");
+        let id = play.submit(job("req-000001", "array", 1));
+        play.settle(&mut [&mut w]);
+        w.end("req-000001/0", Cause::Done);
+        let report = w.report();
+        play.ledger.check_in(&report, play.now);
+        let commit = play.ledger.next_commit(play.now).expect("the end");
+        let late = commit.transaction.clone();
+        if applied {
+            play.store.commit(&late).expect("applied");
+        }
+        assert_eq!(play.ledger.status(&id), Lookup::Deciding);
+        let keys = commit.keys().into_iter().map(|k| (k.clone(), play.store.get(&k))).collect();
+        play.ledger.committed(commit, CommitResult::Unsure(keys), play.now);
+        play.flush();
+        assert_eq!(play.stored_final(&id).as_deref(), Some("done"));
+        assert_eq!(play.ledger.take_decided().len(), 1);
+        assert!(play.store.commit(&late).is_err(), "arriving late it changes nothing");
+    }
+}
+
+#[test]
+fn withdrawal_and_last_completion_have_one_winner() {
+    for withdraw_first in [true, false] {
+        let mut play = Play::start();
+        let mut w = small("m-1", "a");
+        let id = play.submit(job("req-000001", "array", 1));
+        play.settle(&mut [&mut w]);
+        w.end("req-000001/0", Cause::Done);
+        let report = w.report();
+        if withdraw_first {
+            play.ledger.withdraw(&id);
+            play.ledger.check_in(&report, play.now);
+        } else {
+            play.ledger.check_in(&report, play.now);
+            play.ledger.withdraw(&id);
+        }
+        play.flush();
+        let decided = play.ledger.take_decided();
+        assert_eq!(decided.len(), 1);
+        let state = if withdraw_first { JobState::Withdrawn } else { JobState::Done };
+        assert_eq!(decided[0].1.state, state);
+    }
+}
+
+#[test]
+fn a_withdrawn_job_is_stopped_everywhere_and_never_started_again() {
+    let mut play = Play::start();
+    let (mut w, mut late) = (small("m-1", "a"), small("m-2", "a"));
+    let id = play.submit(job("req-000001", "array", 5));
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live().len(), 1);
+    play.ledger.withdraw(&id);
+    play.flush();
+    play.settle(&mut [&mut w, &mut late]);
+    assert_eq!((w.live().len(), w.started.len(), late.started.len()), (0, 1, 0));
+    // A watch that lags behind brings the job's record once more.
+    let record = JobRecord { spec: job("req-000001", "array", 5), at_ms: 0 };
+    let value = serde_json::to_value(record).expect("a record");
+    let at = Moment { now: play.now, wall: 0 };
+    play.ledger.job_seen(&job_key(&id), value, at, false);
+    play.settle(&mut [&mut w, &mut late]);
+    assert_eq!((w.started.len(), late.started.len()), (1, 0));
+}
+
+#[test]
+fn a_new_leader_stops_tasks_of_jobs_that_are_over() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    let id = play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut w]);
+    play.ledger.withdraw(&id);
+    play.flush();
+    let mut next = Play::lead(play.store.clone(), 2, 9_000);
+    next.settle(&mut [&mut w]);
+    assert_eq!(w.live().len(), 0);
+}
+
+#[test]
+fn a_gang_refused_on_one_machine_is_cleared_before_it_starts_again() {
+    let mut play = Play::start();
+    let (mut one, mut two) = (small("m-1", "a"), small("m-2", "b"));
+    play.submit(job("req-000001", "group", 2));
+    play.settle(&mut [&mut one, &mut two]);
+    assert_eq!((one.live().len(), two.live().len()), (1, 1));
+    let first = one.started[0].1;
+    assert_eq!(first, two.started[0].1, "they share the attempt");
+    let refused = two.live()[0].clone();
+    two.end(&refused, Cause::NoRoom);
+    play.beat(&mut two);
+    play.wait(500);
+    assert_eq!(two.started.len(), 1, "not while the other task is still there");
+    play.beat(&mut one);
+    assert_eq!(one.live().len(), 0, "the rest of the attempt is stopped");
+    play.now += 4_000;
+    play.settle(&mut [&mut one, &mut two]);
+    assert_eq!((one.live().len(), two.live().len()), (1, 1));
+    assert_ne!(one.started[1].1, first, "attempt numbers are never used twice");
+}
+
+#[test]
+fn a_gang_half_found_after_a_takeover_is_stopped() {
+    let mut play = Play::start();
+    let (mut one, mut two) = (small("m-1", "a"), small("m-2", "b"));
+    play.submit(job("req-000001", "group", 2));
+    play.settle(&mut [&mut one, &mut two]);
+    let mut next = Play::lead(play.store.clone(), 2, 9_000);
+    two.expire();
+    next.settle(&mut [&mut one, &mut two]);
+    next.settle(&mut [&mut one, &mut two]);
+    assert_eq!((one.live().len(), two.live().len()), (1, 1));
+    assert_eq!(one.started.last().map(|s| s.1), two.started.last().map(|s| s.1));
+    assert_eq!(one.started.len(), 2);
+}
+
+#[test]
+fn quotas_count_what_may_be_on_silent_machines() {
+    let mut play = Play::start();
+    let (mut one, mut two) = (small("m-1", "a"), small("m-2", "a"));
+    let mut spec = job("req-000001", "array", 1);
+    spec.owner = "tight".into();
+    play.submit(spec.clone());
+    play.settle(&mut [&mut one]);
+    assert_eq!(one.live().len(), 1);
+    // m-1 falls silent together with the leader; 3 of the team's 4 CPUs may be in use there.
+    let mut next = Play::lead(play.store.clone(), 2, 9_000);
+    spec.name_id = JobId::parse("req-000002").expect("an id");
+    next.submit(spec);
+    for _ in 0..10 {
+        next.beat(&mut two);
+        next.wait(1_000);
+    }
+    assert_eq!(two.started.len(), 0);
+}
+
+#[test]
+fn a_machine_that_never_comes_up_is_returned() {
+    let mut play = Play::start();
+    play.submit(job("req-000001", "array", 1));
+    let mut rented = 0;
+    let mut deleted = Vec::new();
+    for _ in 0..200 {
+        play.now += 1_000;
+        for action in play.ledger.fleet_round(play.now) {
+            match action {
+                FleetAction::Rent(request) => {
+                    rented += 1;
+                    let names = vec![format!("m-{rented}")];
+                    play.ledger.rented(&request, Some(names), play.now);
+                }
+                FleetAction::Delete(names) => {
+                    play.ledger.deleted(&names, play.now);
+                    deleted.extend(names);
+                }
+            }
+        }
+        play.flush();
+    }
+    assert!(deleted.contains(&"m-1".to_owned()), "given up after several boot times");
+    assert!(rented >= 2, "another one is rented in its place");
+    assert!(play.store.get(&roster_key("m-1")).is_none());
+}
+
+#[test]
+fn a_machine_that_the_cloud_calls_failed_frees_its_tasks() {
+    let mut play = Play::start();
+    let (mut one, mut two) = (small("m-1", "a"), small("m-2", "a"));
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut one]);
+    let entry = ListedHost {
+        name_id: "m-1".into(),
+        addr: None,
+        flavor: "small".into(),
+        yard: "a".into(),
+        loaners: false,
+        status: HostState::Failed,
+        age_s: 60.0,
+    };
+    play.ledger.listed(&[entry], play.now, play.now);
+    play.settle(&mut [&mut two]);
+    assert_eq!(two.live(), ["req-000001/0"]);
+}
+
+#[test]
+fn a_job_that_fails_everywhere_does_not_condemn_the_machines() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "array", 1));
+    for _ in 0..6 {
+        play.settle(&mut [&mut w]);
+        w.end("req-000001/0", Cause::Error);
+        play.now += 31_000 / 4;
+        play.settle(&mut [&mut w]);
+    }
+    let fleet = play.ledger.fleet_round(play.now);
+    assert!(!fleet.iter().any(|a| matches!(a, FleetAction::Delete(_))));
+    assert!(w.started.len() >= 2);
+    let status = match play.ledger.status(&JobId::parse("req-000001").expect("an id")) {
+        Lookup::Known(status) => status,
+        other => panic!("{other:?}"),
+    };
+    assert!(status.notes[0].contains("failed with an error"), "users are told in plain words");
+}
+
+#[test]
+fn repeated_submission_after_the_end_can_not_revive_a_job() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    let id = play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut w]);
+    w.end("req-000001/0", Cause::Done);
+    play.settle(&mut [&mut w]);
+    let again = Transaction {
+        guards: vec![
+            Guard { key: job_key(&id), stamp: 0 },
+            Guard { key: final_key(&id), stamp: 0 },
+        ],
+        apply: vec![Change::put(job_key(&id), serde_json::json!({}))],
+    };
+    assert_eq!(play.store.commit(&again), Err(vec![final_key(&id)]));
+}
--- /dev/null
+++ b/crates/testkit/src/store.rs
@@ -0,0 +1,68 @@
+use hookway_wire::{Change, KeyValue, Transaction};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// The state service's keys and transactions, in memory. Leases are ended by hand.
+#[derive(Debug, Default, Clone)]
+pub struct MemoryStore {
+    keys: BTreeMap<String, KeyValue>,
+    epoch: u64,
+}
+
+impl MemoryStore {
+    /// Applies a transaction: the new revision, or the conditions that failed.
+    pub fn commit(&mut self, transaction: &Transaction) -> Result<u64, Vec<String>> {
+        let failed: Vec<String> = transaction
+            .guards
+            .iter()
+            .filter(|g| self.keys.get(&g.key).map_or(0, |kv| kv.stamp) != g.stamp)
+            .map(|g| g.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        if transaction.apply.is_empty() {
+            return Ok(self.epoch);
+        }
+        self.epoch += 1;
+        for change in &transaction.apply {
+            match change {
+                Change::Put { put, v, permit } => {
+                    let kv = KeyValue {
+                        key: put.clone(),
+                        v: v.clone(),
+                        stamp: self.epoch,
+                        permit: *permit,
+                    };
+                    self.keys.insert(put.clone(), kv);
+                }
+                Change::Delete { delete } => {
+                    self.keys.remove(delete);
+                }
+            }
+        }
+        Ok(self.epoch)
+    }
+
+    /// Sets a key without conditions; its version.
+    pub fn put(&mut self, key: &str, v: Value) -> u64 {
+        let transaction = Transaction { guards: vec![], apply: vec![Change::put(key, v)] };
+        self.commit(&transaction).unwrap_or_default()
+    }
+
+    /// Reads a key.
+    pub fn get(&self, key: &str) -> Option<KeyValue> {
+        self.keys.get(key).cloned()
+    }
+
+    /// Reads all keys with a prefix.
+    pub fn list(&self, prefix: &str) -> Vec<KeyValue> {
+        self.keys.values().filter(|kv| kv.key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// A lease ends: its keys go.
+    pub fn end_permit(&mut self, permit: u64) {
+        self.epoch += 1;
+        self.keys.retain(|_, kv| kv.permit != Some(permit));
+    }
+}
