--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1,5 +1,6 @@
 //! The ledger against a state service in memory and scripted workers, with a clock that the test
 //! moves. Each test names the failure that it guards against.
+#![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
 
 use hookway_controller::config::{OperatorSettings, Settings};
 use hookway_controller::ledger::{
