--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -66,9 +66,9 @@
 pub const BOOT_GIVE_UP_FACTOR: f64 = 4.0;
 /// Added to that, ms.
 pub const BOOT_GIVE_UP_MS: u64 = 10_000;
-/// Idle time after which a machine is returned, ms. A machine costs at least a minute anyway, and a
-/// returned one takes its images with it.
-pub const IDLE_RETURN_MS: u64 = 45_000;
+/// A machine is returned once it has been idle for this many times what a new one takes to boot and
+/// to fetch an image. 1 is the break-even of the cost; above it, late work is spared.
+pub const IDLE_RETURN_FACTOR: f64 = 1.0;
 /// How long a machine may stay silent after its lease is surely over before it is returned, ms.
 pub const SILENT_RETURN_MS: u64 = 6_000;
 /// After this many list lags without an entry, a machine that had been listed is gone.
@@ -100,6 +100,13 @@
 pub const STOP_PATIENCE_MS: u64 = 10_000;
 /// Deadline assumed, in multiples of the estimate, when sizing the fleet for deadline-free jobs.
 pub const FREE_JOB_STRETCH: f64 = 2.0;
+/// What placing a task on an empty machine costs against one that is in use, s of image fetch.
+/// Keeps whole machines free for gangs and for being returned.
+pub const EMPTY_MACHINE_PENALTY_S: f64 = 3.0;
+/// What a machine costs that stays all free after the placement against a full one, likewise.
+pub const LOOSE_FIT_PENALTY_S: f64 = 4.0;
+/// What a machine costs at twice the lowest price of a CPU, likewise.
+pub const PRICE_PENALTY_S: f64 = 2.0;
 /// Weight of a machine's missing image against its price when choosing where a task goes, s.
 pub const IMAGE_MISS_PENALTY: f64 = 1.0;
 
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -241,8 +241,9 @@
 /// refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OperatorSettings {
-    /// `[fleet] idle_return_s`: idle time after which a machine is returned, ms.
-    pub idle_return_ms: u64,
+    /// `[fleet] idle_return_s`: idle time after which a machine is returned, ms; as a rule derived
+    /// from the machine type.
+    pub idle_return_ms: Option<u64>,
     /// `[fleet] most_machines`: machines rented at a time, at most.
     pub most_machines: usize,
     /// `[scheduling] block_lease_s`: length of a block lease, ms.
@@ -252,7 +253,7 @@
 impl Default for OperatorSettings {
     fn default() -> Self {
         Self {
-            idle_return_ms: hookway_constants::IDLE_RETURN_MS,
+            idle_return_ms: None,
             most_machines: usize::MAX,
             block_lease_ms: hookway_constants::BLOCK_LEASE_MS,
         }
@@ -285,7 +286,7 @@
                     }
                 };
                 match (section, key) {
-                    (Some("fleet"), "idle_return_s") => found.idle_return_ms = seconds()?,
+                    (Some("fleet"), "idle_return_s") => found.idle_return_ms = Some(seconds()?),
                     (Some("fleet"), "most_machines") => {
                         found.most_machines = value
                             .trim()
@@ -357,7 +358,7 @@
     #[test]
     fn operator_settings_refuse_unknown_keys() {
         let found = OperatorSettings::parse("[fleet]\nidle_return_s = 30\n").unwrap();
-        assert_eq!(found.idle_return_ms, 30_000);
+        assert_eq!(found.idle_return_ms, Some(30_000));
         assert!(OperatorSettings::parse("[fleet]\nidle = 30\n").unwrap_err().contains("idle"));
         assert!(OperatorSettings::parse("[fleet]\nidle_return_s = soon\n").is_err());
     }
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -2,7 +2,8 @@
 use super::{Host, Ledger, lease_over_ms};
 use hookway_constants as constants;
 use hookway_policy::{HostView, Offer, Room, plan_fleet};
-use hookway_wire::{HostState, ListedHost, RentRequest};
+use hookway_wire::{Flavor, HostState, ListedHost, RentRequest};
+use std::collections::HashMap;
 
 /// Something to ask of the cloud.
 #[derive(Debug, Clone, PartialEq)]
@@ -64,6 +65,7 @@
                     loaner: r.loaner,
                     total,
                     free: total,
+                    price: 0.0,
                     images: vec![],
                     open: false,
                     booting: true,
@@ -126,11 +128,25 @@
         actions
     }
 
+    /// How long a machine of this type may be idle. As in ski rental, keeping it costs as much as
+    /// returning it once it has been idle for as long as a new one takes to boot and to fetch an
+    /// image, which is time paid for without work.
+    fn idle_return(&self, flavor: &Flavor) -> u64 {
+        let sizes: Vec<f64> = self.jobs.values().map(|j| j.spec.image_gb).collect();
+        let mean =
+            if sizes.is_empty() { 0.0 } else { sizes.iter().sum::<f64>() / sizes.len() as f64 };
+        let fetch = if flavor.fetch_gb_per_s > 0.0 { mean / flavor.fetch_gb_per_s } else { 0.0 };
+        let factor = constants::IDLE_RETURN_FACTOR;
+        let again = ((flavor.ready_s + fetch) * factor * 1000.0) as u64;
+        self.setup.operator.idle_return_ms.unwrap_or(again)
+    }
+
     /// Machines to delete now.
     fn doomed(&mut self, now: u64, names: &[String], needed: &[bool]) -> Vec<String> {
         let lease = lease_over_ms(&self.setup.params);
         let settled = self.settled(now);
-        let idle_return = self.setup.operator.idle_return_ms;
+        let idle_return: HashMap<String, u64> =
+            self.flavors.iter().map(|f| (f.label.clone(), self.idle_return(f))).collect();
         let mut doomed = Vec::new();
         for (name, host) in &mut self.hosts {
             let needed = names.iter().position(|n| n == name).is_some_and(|i| needed[i]);
@@ -143,7 +159,8 @@
                 continue;
             }
             let idle = host.idle_since.map_or(0, |s| now.saturating_sub(s));
-            if host.closing.is_none() && host.heard && settled && !needed && idle >= idle_return {
+            let patience = idle_return.get(&host.flavor).copied().unwrap_or(u64::MAX);
+            if host.closing.is_none() && host.heard && settled && !needed && idle >= patience {
                 host.closing = Some("idle");
             }
             // Silence while this node could not answer is not the machine's.
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -71,8 +71,20 @@
                 hosts.push(view);
             }
         }
-        let world =
-            World { now: now as f64 / 1000.0, jobs, hosts, teams, flavors: self.flavors.clone() };
+        let cheapest_cpu = self
+            .flavors
+            .iter()
+            .flat_map(|f| [Some(f.hourly), f.market_price].map(|p| p.map(|p| p / f.vcpus.max(0.1))))
+            .flatten()
+            .fold(f64::INFINITY, f64::min);
+        let world = World {
+            now: now as f64 / 1000.0,
+            cheapest_cpu: if cheapest_cpu.is_finite() { cheapest_cpu } else { 0.0 },
+            jobs,
+            hosts,
+            teams,
+            flavors: self.flavors.clone(),
+        };
         Scene { world, jobs: keys, hosts: names }
     }
 
@@ -172,6 +184,11 @@
             loaner: host.loaner,
             total,
             free,
+            price: if host.loaner {
+                self.flavors[flavor].market_price.unwrap_or(self.flavors[flavor].hourly)
+            } else {
+                self.flavors[flavor].hourly
+            },
             images: host.images.iter().map(|(i, _)| *i).collect(),
             open,
             booting: !host.heard && !taken,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,5 +1,4 @@
 use crate::{HostView, Room, World, wanted};
-use hookway_constants as constants;
 
 /// A type, zone and kind of machine that can be rented now.
 #[derive(Debug, Clone, PartialEq)]
@@ -40,6 +39,13 @@
     // Machines that this plan rents, with the room that is left on them.
     let mut rented: Vec<(usize, Room)> = Vec::new();
     let mut used: Vec<Room> = world.teams.iter().map(|t| t.used).collect();
+    // Work is laid out on cheap machines first, so that dear ones are the ones to return.
+    let mut by_price: Vec<usize> = (0..world.hosts.len()).collect();
+    by_price.sort_by(|a, b| {
+        let (a, b) = (&world.hosts[*a], &world.hosts[*b]);
+        let rank = |h: &HostView| (h.booting, h.held.is_empty());
+        rank(a).cmp(&rank(b)).then(a.cpu_price().total_cmp(&b.cpu_price()))
+    });
     let mut order: Vec<usize> = (0..world.jobs.len()).collect();
     order.sort_by(|a, b| {
         let (a, b) = (&world.jobs[*a], &world.jobs[*b]);
@@ -57,7 +63,8 @@
                 used[job.team].give(&job.need);
             }
         }
-        for (i, host) in world.hosts.iter().enumerate() {
+        for &i in &by_price {
+            let host = &world.hosts[i];
             if short == 0 {
                 break;
             }
@@ -153,11 +160,6 @@
     best.map(|(_, i, n)| (i, n))
 }
 
-/// Whether a machine that has been idle for `idle` seconds should be returned.
-pub fn should_return(idle: f64, needed: bool) -> bool {
-    !needed && idle * 1000.0 >= constants::IDLE_RETURN_MS as f64
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,7 +13,7 @@
 mod room;
 mod view;
 
-pub use fleet::{FleetPlan, Offer, Rent, plan_fleet, should_return};
+pub use fleet::{FleetPlan, Offer, Rent, plan_fleet};
 pub use minimum::{minimum, needs_rewrite, wanted};
 pub use order::{Turn, turns};
 pub use place::{Placement, fits_somewhere, place};
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -21,9 +21,14 @@
     }
     // Fill machines that are in use before empty ones, small ones before large ones.
     let after = 1.0 - job.need.share_of(&host.free).min(1.0);
-    cost += 4.0 * after;
+    cost += constants::LOOSE_FIT_PENALTY_S * after;
     if host.held.is_empty() {
-        cost += 3.0;
+        cost += constants::EMPTY_MACHINE_PENALTY_S;
+    }
+    // Dear machines last, so that they are the ones that fall idle and can be returned.
+    let cheapest = world.cheapest_cpu;
+    if cheapest > 0.0 {
+        cost += constants::PRICE_PENALTY_S * (host.cpu_price() / cheapest - 1.0).clamp(0.0, 4.0);
     }
     cost
 }
@@ -201,6 +206,7 @@
             loaner: false,
             total,
             free: total,
+            price: 1.0,
             images: vec![],
             open: true,
             booting: false,
@@ -212,6 +218,7 @@
     pub(crate) fn world(jobs: Vec<JobView>, hosts: Vec<HostView>) -> World {
         World {
             now: 0.0,
+            cheapest_cpu: 0.25,
             jobs,
             hosts,
             teams: vec![TeamView::default()],
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -110,6 +110,8 @@
     pub total: Room,
     /// What is free.
     pub free: Room,
+    /// Its price per hour.
+    pub price: f64,
     /// Images that it is thought to hold.
     pub images: Vec<u32>,
     /// Takes new tasks.
@@ -122,6 +124,13 @@
     pub held: Vec<HeldView>,
 }
 
+impl HostView {
+    /// Price per hour of one CPU.
+    pub fn cpu_price(&self) -> f64 {
+        self.price / self.total.cpus.max(0.1)
+    }
+}
+
 /// A team's use and bounds.
 #[derive(Debug, Clone, Default)]
 pub struct TeamView {
@@ -163,6 +172,8 @@
 pub struct World {
     /// Now, s.
     pub now: f64,
+    /// The lowest current price per hour of one CPU, on any machine type; 0 if unknown.
+    pub cheapest_cpu: f64,
     /// Unfinished jobs.
     pub jobs: Vec<JobView>,
     /// Machines.
