--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -76,6 +76,33 @@
     NotHere,
 }
 
+/// How things stand, in one line of the log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Summary {
+    /// Unfinished jobs.
+    pub jobs: usize,
+    /// Machines, booting ones included.
+    pub hosts: usize,
+    /// Machines that are up.
+    pub up: usize,
+    /// Tasks that hold a place.
+    pub tasks: usize,
+    /// CPUs of the machines that are up.
+    pub cpus: f64,
+    /// CPUs that tasks hold.
+    pub placed: f64,
+    /// CPUs that startable tasks are waiting for.
+    pub waiting: f64,
+}
+
+impl std::fmt::Display for Summary {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} jobs, {} machines ({} up), ", self.jobs, self.hosts, self.up)?;
+        write!(f, "{} tasks placed; CPUs: {:.0} up, ", self.tasks, self.cpus)?;
+        write!(f, "{:.0} placed, {:.0} waited for", self.placed, self.waiting)
+    }
+}
+
 /// The leader's ledger.
 #[derive(Debug)]
 pub struct Ledger {
@@ -340,9 +367,23 @@
         self.resumed_at = now;
     }
 
-    /// Unfinished jobs, machines, and tasks that hold a place: for the log.
-    pub fn counts(&self) -> (usize, usize, usize) {
-        (self.jobs.len(), self.hosts.len(), self.hosts.values().map(|h| h.held.len()).sum())
+    /// How things stand, for the log.
+    pub fn summary(&self, now: u64) -> Summary {
+        let scene = self.scene(now);
+        let up = || scene.world.hosts.iter().filter(|h| !h.booting);
+        let total: f64 = up().map(|h| h.total.cpus).sum();
+        let free: f64 = up().map(|h| h.free.cpus).sum();
+        let waiting: f64 =
+            scene.world.jobs.iter().map(|j| f64::from(j.startable) * j.need.cpus).sum();
+        Summary {
+            jobs: self.jobs.len(),
+            hosts: self.hosts.len(),
+            up: up().count(),
+            tasks: self.hosts.values().map(|h| h.held.len()).sum(),
+            cpus: total.abs(),
+            placed: (total - free).abs(),
+            waiting: waiting.abs(),
+        }
     }
 
     /// The guard that every durable write carries.
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -268,8 +268,7 @@
                     loaded,
                     at,
                 );
-                let (jobs, hosts, _) = ledger.counts();
-                tracing::info!("term {}: {jobs} jobs, {hosts} machines", term.mandate.term);
+                tracing::info!("term {}: {}", term.mandate.term, ledger.summary(at.now));
                 term.ledger = Some(ledger);
                 self.start_watching(term, epoch);
             }
@@ -295,6 +294,8 @@
             Note::Rented(request, hosts) => {
                 if let Some(ledger) = &mut term.ledger {
                     ledger.rented(&request, hosts, at.now);
+                    // What was refused is looked for elsewhere at once.
+                    term.last_fleet = 0;
                 }
             }
             Note::Deleted(names, done) => {
@@ -361,8 +362,7 @@
         }
         if now >= term.last_log + 10_000 {
             term.last_log = now;
-            let (jobs, hosts, held) = ledger.counts();
-            tracing::info!("{jobs} jobs, {hosts} machines, {held} tasks placed");
+            tracing::info!("{}", ledger.summary(now));
         }
         if term.last_list.is_none_or(|l| now >= l + constants::CLOUD_LIST_EVERY_MS) {
             term.last_list = Some(now);
