--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -96,6 +96,10 @@
 /// Stops of one machine's work for a job of higher rank wait this long for machines to free up by
 /// themselves, ms.
 pub const PREEMPT_AFTER_MS: u64 = 1_500;
+/// Weight of the work that a task loses when it makes room, if its job is late already.
+pub const LATE_VICTIM_WEIGHT: f64 = 0.5;
+/// The same, if its job would be late for it.
+pub const TIGHT_VICTIM_WEIGHT: f64 = 3.0;
 /// A command to stop that has had no effect is sent again with no grace after SnapshotS and this, ms.
 pub const STOP_PATIENCE_MS: u64 = 10_000;
 /// Deadline assumed, in multiples of the estimate, when sizing the fleet for deadline-free jobs.
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -10,15 +10,19 @@
     pub hosts: Vec<usize>,
 }
 
+/// Time until a machine has a job's image, s; 0 if it is thought to hold it.
+pub(crate) fn fetch_time(world: &World, job: &JobView, host: &HostView) -> f64 {
+    if host.images.contains(&job.image) {
+        return 0.0;
+    }
+    let rate = world.flavors.get(host.flavor).map_or(0.0, |f| f.fetch_gb_per_s);
+    if rate > 0.0 { job.image_gb / rate } else { 0.0 }
+}
+
 /// How badly a machine suits a task; smaller is better. Seconds of image fetch (image locality, the
 /// paper's data locality) plus what keeps whole machines free for work that needs them.
 fn badness(world: &World, job: &JobView, host: &HostView) -> f64 {
-    let mut cost = 0.0;
-    if !host.images.contains(&job.image) {
-        let rate = world.flavors.get(host.flavor).map_or(0.0, |f| f.fetch_gb_per_s);
-        let fetch = if rate > 0.0 { job.image_gb / rate } else { 0.0 };
-        cost += constants::IMAGE_MISS_PENALTY * fetch;
-    }
+    let mut cost = constants::IMAGE_MISS_PENALTY * fetch_time(world, job, host);
     // Fill machines that are in use before empty ones, small ones before large ones.
     let after = 1.0 - job.need.share_of(&host.free).min(1.0);
     cost += constants::LOOSE_FIT_PENALTY_S * after;
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -18,7 +18,14 @@
     let seconds = if job.saves { held.elapsed.min(5.0) } else { held.elapsed };
     // A gang loses all its tasks with one.
     let tasks = if job.gang { f64::from(job.pieces) } else { 1.0 };
-    (1.0 + seconds) * held.need.cpus.max(0.1) * tasks
+    // A job that would be late for it loses more than its work; one that is late anyway does not.
+    let again = world.now + job.task_time();
+    let weight = match job.due {
+        Some(due) if world.now > due => constants::LATE_VICTIM_WEIGHT,
+        Some(due) if again > due => constants::TIGHT_VICTIM_WEIGHT,
+        _ => 1.0,
+    };
+    (1.0 + seconds) * held.need.cpus.max(0.1) * tasks * weight
 }
 
 fn may_evict(world: &World, job: usize, held: &HeldView) -> bool {
@@ -48,7 +55,8 @@
         .map(|h| (loss(world, h), h))
         .collect();
     candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let mut cost = 0.0;
+    // A machine without the image keeps the job waiting for the fetch.
+    let mut cost = crate::place::fetch_time(world, &world.jobs[job], host) * need.cpus;
     let mut victims = Vec::new();
     for (price, held) in candidates {
         if room.fits(&need) {
