--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -95,7 +95,7 @@
 pub const ERROR_PAUSE_MAX_MS: u64 = 30_000;
 /// Stops of one machine's work for a job of higher rank wait this long for machines to free up by
 /// themselves, ms.
-pub const PREEMPT_AFTER_MS: u64 = 1_500;
+pub const PREEMPT_AFTER_MS: u64 = 200;
 /// Weight of the work that a task loses when it makes room, if its job is late already.
 pub const LATE_VICTIM_WEIGHT: f64 = 0.5;
 /// The same, if its job would be late for it.
