--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -257,10 +257,12 @@
         let key = self.next_job;
         let due = self.due_of(&record);
         tracing::info!(
-            "job {id}: seen ({:?}, {} tasks, lane {})",
+            "job {id}: seen ({:?}, {} tasks, lane {}, {}, {} GB)",
             record.spec.shape,
             record.spec.pieces,
-            record.spec.lane
+            record.spec.lane,
+            record.spec.bundle,
+            record.spec.image_gb
         );
         let job = Job::new(record, due, team, image, zones, inherited, at);
         self.by_id.insert(id, key);
