--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -111,7 +111,10 @@
                 held.phase = Phase::On(piece.status);
                 if piece.status == PieceState::Running && held.running_since.is_none() {
                     let took = now.saturating_sub(held.since) as f64 / 1000.0;
-                    tracing::info!("task {} on {name}: runs, {took:.1} s after placement", held.piece);
+                    tracing::info!(
+                        "task {} on {name}: runs, {took:.1} s after placement",
+                        held.piece
+                    );
                     held.running_since = Some(now);
                 }
                 keep.push(held);
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -128,6 +128,7 @@
             image: job.image,
             image_gb: job.spec.image_gb,
             saves: job.spec.saves(),
+            save_time: if job.spec.saves() { job.spec.snapshot_s } else { 0.0 },
             submitted: job.submitted,
             due: job.due,
             own_deadline: job.spec.due_s.is_some(),
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -1,3 +1,4 @@
+use crate::preempt::worth_evicting;
 use crate::{HostView, JobView, TeamView, World, turns};
 use hookway_constants as constants;
 
@@ -116,6 +117,17 @@
         return Vec::new();
     }
     let gang = job.gang;
+    // A gang starts together, so one missing image keeps all of it waiting. Where it may push work
+    // aside on machines that hold the image, that can be the earlier start.
+    let fetch = world
+        .hosts
+        .iter()
+        .filter(|h| usable(job_ix, job, h))
+        .map(|h| fetch_time(world, job, h))
+        .fold(f64::INFINITY, f64::min);
+    if gang && fetch.is_finite() && fetch > 0.0 && worth_evicting(world, job_ix) {
+        return Vec::new();
+    }
     // A job that has to be in one zone: the one where most of it finds room, unless it is in one.
     let zone = if job.together && job.per_zone.iter().all(|n| *n == 0) {
         let best = (0..zones(world)).max_by_key(|z| room_in(world, job_ix, *z));
@@ -188,6 +200,7 @@
             image: 1,
             image_gb: 1.0,
             saves: false,
+            save_time: 0.0,
             submitted: 0.0,
             due: None,
             own_deadline: false,
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -58,17 +58,29 @@
     // A machine without the image keeps the job waiting for the fetch.
     let mut cost = crate::place::fetch_time(world, &world.jobs[job], host) * need.cpus;
     let mut victims = Vec::new();
+    let mut saving: f64 = 0.0;
     for (price, held) in candidates {
         if room.fits(&need) {
             break;
         }
         room.give(&held.need);
         cost += price;
+        saving = saving.max(constants::EVICTION_DELAY_S + world.jobs[held.job].save_time);
         victims.push(held.tag);
     }
+    // The job waits for the stop to arrive, and for what saves to have saved.
+    cost += saving * need.cpus;
     room.fits(&need).then_some((cost, victims))
 }
 
+/// Whether a gang should rather push work aside on a machine that holds its image than start at
+/// once on one that would have to fetch it.
+pub(crate) fn worth_evicting(world: &World, job_ix: usize) -> bool {
+    let taken = vec![false; world.hosts.len()];
+    evict_for(world, job_ix, world.jobs[job_ix].startable, &taken)
+        .is_some_and(|found| !found.victims.is_empty())
+}
+
 /// Finds room for waiting work that may push other work aside: work of higher rank, and work within
 /// its team's guarantee. Only what the job needs at least is made room for: a gang whole, an array
 /// one task a round.
@@ -95,7 +107,9 @@
         if !team_allows {
             continue;
         }
-        if let Some(found) = evict_for(world, job_ix, tasks, &taken) {
+        if let Some(found) =
+            evict_for(world, job_ix, tasks, &taken).filter(|f| !f.victims.is_empty())
+        {
             for host in &found.hosts {
                 taken[*host] = true;
             }
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -30,6 +30,8 @@
     pub image_gb: f64,
     /// Tasks keep progress when stopped.
     pub saves: bool,
+    /// Time that a stopped task takes to save, s; 0 if it does not.
+    pub save_time: f64,
     /// When it was submitted, s.
     pub submitted: f64,
     /// When it should be complete, s: its own deadline, or what the aims say of its class.
