--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -39,6 +39,11 @@
         Self { base: format!("http://{address}"), client }
     }
 
+    /// A client for another address that shares this one's connections.
+    pub fn at(&self, address: &str) -> Self {
+        Self { base: format!("http://{address}"), client: self.client.clone() }
+    }
+
     /// One exchange: the status and the body.
     pub async fn exchange(
         &self,
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -7,9 +7,11 @@
 mod cloud;
 mod http;
 mod store;
+mod worker;
 
 pub use api::{ApiClient, ApiError};
 pub use budget::Budget;
 pub use cloud::{CloudClient, CloudError, RentOutcome};
 pub use http::{HttpClient, HttpError};
 pub use store::{CommitOutcome, StoreClient, StoreError};
+pub use worker::WorkerClient;
--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -48,6 +48,8 @@
 /// Share of the cloud's request rate that the leader uses. A deposed leader may still have calls
 /// under way.
 pub const CLOUD_RATE_SHARE: f64 = 0.7;
+/// Time limit for commands sent straight to a worker, ms. What is lost goes with the next report.
+pub const WORKER_TIMEOUT_MS: u64 = 1_500;
 /// Pause between two readings of the machine list, ms.
 pub const CLOUD_LIST_EVERY_MS: u64 = 3_000;
 /// Pause between two readings of the machine types (their prices move), ms.
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -1,7 +1,7 @@
 use super::{Ended, Held, Host, Job, Ledger, Phase, Slot, lease_over_ms};
 use hookway_constants as constants;
 use hookway_wire::{
-    Cause, CheckIn, CheckInAnswer, JobState, Order, PieceReport, PieceState, TaskId,
+    Cause, CheckIn, CheckInAnswer, DirectOrders, JobState, Order, PieceReport, PieceState, TaskId,
 };
 
 /// Most commands in one answer, so that its only line stays far below 64 KiB.
@@ -49,6 +49,7 @@
         }
         host.heard = true;
         host.newest = stamp;
+        host.addr.clone_from(&report.addr);
         host.flavor.clone_from(&report.flavor);
         host.yard.clone_from(&report.yard);
         host.loaner = report.loaners;
@@ -176,6 +177,7 @@
             phase: Phase::On(piece.status),
             stray: true,
             kill: None,
+            pushed: false,
             running_since: (piece.status == PieceState::Running).then_some(now),
             since: now,
         };
@@ -420,6 +422,44 @@
         orders
     }
 
+    /// Commands to stop that should not wait for the workers' reports: address and commands. Each
+    /// is handed out once; if it gets lost, the answer to the next report says the same.
+    pub fn take_pushes(&mut self, now: u64) -> Vec<(String, DirectOrders)> {
+        let mut pushes = Vec::new();
+        let names: Vec<String> = self.hosts.keys().cloned().collect();
+        for name in names {
+            let Some(host) = self.hosts.get(&name) else { continue };
+            if !host.heard || host.addr.is_empty() {
+                continue;
+            }
+            let stops: Vec<(usize, f64)> = host
+                .held
+                .iter()
+                .enumerate()
+                .filter(|(_, h)| !h.pushed && matches!(h.phase, Phase::On(_)))
+                .filter_map(|(i, h)| self.must_stop(h, now).map(|wind_down_s| (i, wind_down_s)))
+                .take(ORDERS_AT_MOST)
+                .collect();
+            if stops.is_empty() {
+                continue;
+            }
+            let Some(host) = self.hosts.get_mut(&name) else { continue };
+            let mut orders = Vec::with_capacity(stops.len());
+            for (i, wind_down_s) in stops {
+                let held = &mut host.held[i];
+                held.pushed = true;
+                orders.push(Order::Kill {
+                    piece: held.piece.clone(),
+                    r#try: held.attempt,
+                    wind_down_s,
+                });
+            }
+            let tenure = host.newest.0;
+            pushes.push((host.addr.clone(), DirectOrders { baton: self.term, tenure, orders }));
+        }
+        pushes
+    }
+
     /// Drops a start that was never sent.
     pub(super) fn unplan(&mut self, name: &str, piece: &str, attempt: u64, now: u64) {
         let Some(host) = self.hosts.get_mut(name) else { return };
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -210,6 +210,8 @@
     pub stray: bool,
     /// A stop.
     pub kill: Option<Kill>,
+    /// The worker was told to stop it without waiting for its report.
+    pub pushed: bool,
     /// When it was first seen running, ms.
     pub running_since: Option<u64>,
     /// When its place was taken, ms.
@@ -240,6 +242,8 @@
     pub yard: String,
     /// Spot machine.
     pub loaner: bool,
+    /// Where its worker listens; empty until known.
+    pub addr: String,
     /// Its worker has reported to this leader.
     pub heard: bool,
     /// Newest message: session and sequence number.
@@ -283,6 +287,7 @@
             flavor: String::new(),
             yard: String::new(),
             loaner: false,
+            addr: String::new(),
             heard: false,
             newest: (0, 0),
             dead_tenure: 0,
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -328,6 +328,7 @@
                 phase: Phase::Planned,
                 stray: false,
                 kill: None,
+                pushed: false,
                 running_since: None,
                 since: now,
             });
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -7,7 +7,7 @@
 };
 use crate::records::{JOBS, MINIMUMS, PROGRESS, ROSTER};
 use hookway_clients::{
-    CloudClient, CloudError, CommitOutcome, RentOutcome, StoreClient, StoreError,
+    CloudClient, CloudError, CommitOutcome, RentOutcome, StoreClient, StoreError, WorkerClient,
 };
 use hookway_constants as constants;
 use hookway_wire::{CheckIn, CheckInAnswer, Event, Flavor, JobId, ListedHost, RentRequest};
@@ -60,6 +60,8 @@
     pub store: StoreClient,
     /// The cloud.
     pub cloud: CloudClient,
+    /// The workers.
+    pub workers: WorkerClient,
     /// Clocks.
     pub clock: Clock,
     /// How long this node's lease lasts.
@@ -320,7 +322,12 @@
         if !self.validity.holds(now) {
             return;
         }
-        let Some(commit) = term.ledger.as_mut().and_then(|l| l.next_commit(now)) else { return };
+        let Some(ledger) = term.ledger.as_mut() else { return };
+        for (address, orders) in ledger.take_pushes(now) {
+            let workers = self.workers.clone();
+            term.helpers.spawn(async move { workers.send(&address, &orders).await });
+        }
+        let Some(commit) = ledger.next_commit(now) else { return };
         let (store, notes) = (self.store.clone(), term.notes.clone());
         term.helpers.spawn(async move {
             let result = carry_out(&store, &commit).await;
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -6,7 +6,7 @@
 use crate::ledger::Setup;
 use crate::node::Node;
 use crate::peers::{self, Peers};
-use hookway_clients::{CloudClient, StoreClient};
+use hookway_clients::{CloudClient, StoreClient, WorkerClient};
 use hookway_constants as constants;
 use hookway_wire::Flavor;
 use salvo::conn::TcpListener;
@@ -69,6 +69,7 @@
         setup: Setup { label: label.clone(), params, operator },
         store,
         cloud: cloud.clone(),
+        workers: WorkerClient::default(),
         clock,
         validity,
         view,
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -147,6 +147,18 @@
     pub orders: Vec<Order>,
 }
 
+/// Commands sent straight to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct DirectOrders {
+    /// The token.
+    pub baton: u64,
+    /// The session that they are for.
+    pub tenure: u64,
+    /// Commands, in order.
+    pub orders: Vec<Order>,
+}
+
 /// The answer of a node that is not the one to report to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
