--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -3,7 +3,7 @@
 use hookway_constants as constants;
 use hookway_policy::{HostView, Offer, Room, plan_fleet};
 use hookway_wire::{Flavor, HostState, ListedHost, RentRequest};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Something to ask of the cloud.
 #[derive(Debug, Clone, PartialEq)]
@@ -141,6 +141,59 @@
         self.setup.operator.idle_return_ms.unwrap_or(again)
     }
 
+    /// Machines that stay although idle: for each lane that must start sooner than a new machine
+    /// boots and fetches its image, one that could take a task of it and has none of it yet;
+    /// the one that holds most of the lane's images, then the cheapest.
+    fn spares(&self, now: u64) -> HashSet<String> {
+        let mut spares = HashSet::new();
+        for objective in self.setup.params.objectives.iter().filter(|o| o.kind == "wait") {
+            let (Some(lane), Some(within)) = (&objective.class, objective.within_s) else {
+                continue;
+            };
+            let Some(seen) = self.lanes.get(lane) else { continue };
+            let mut best: Option<((usize, f64), &String)> = None;
+            for (name, host) in &self.hosts {
+                let Some(flavor) = self.flavors.iter().find(|f| f.label == host.flavor) else {
+                    continue;
+                };
+                let fetch = if flavor.fetch_gb_per_s > 0.0 {
+                    seen.image_gb / flavor.fetch_gb_per_s
+                } else {
+                    0.0
+                };
+                let quick = flavor.ready_s + fetch < within;
+                let busy = host.held.iter().any(|h| {
+                    h.job.and_then(|k| self.jobs.get(&k)).is_some_and(|j| j.spec.lane == *lane)
+                });
+                if quick
+                    || busy
+                    || !host.heard
+                    || host.closing.is_some()
+                    || host.notice.is_some()
+                    || (host.loaner && !seen.loaners)
+                    || !Room::of_flavor(flavor).fits(&seen.need)
+                    || now >= host.last_answer + lease_over_ms(&self.setup.params)
+                {
+                    continue;
+                }
+                let images = host.images.iter().filter(|(i, _)| seen.images.contains(i)).count();
+                let price = if host.loaner {
+                    flavor.market_price.unwrap_or(flavor.hourly)
+                } else {
+                    flavor.hourly
+                };
+                let merit = (images, -price);
+                if best.is_none_or(|(b, _)| merit.partial_cmp(&b).is_some_and(|o| o.is_gt())) {
+                    best = Some((merit, name));
+                }
+            }
+            if let Some((_, name)) = best {
+                spares.insert(name.clone());
+            }
+        }
+        spares
+    }
+
     /// Machines to delete now.
     fn doomed(&mut self, now: u64, names: &[String], needed: &[bool]) -> Vec<String> {
         let lease = lease_over_ms(&self.setup.params);
@@ -148,6 +201,7 @@
         let idle_return: HashMap<String, u64> =
             self.flavors.iter().map(|f| (f.label.clone(), self.idle_return(f))).collect();
         let mut doomed = Vec::new();
+        let spares = self.spares(now);
         for (name, host) in &mut self.hosts {
             let needed = names.iter().position(|n| n == name).is_some_and(|i| needed[i]);
             if !host.held.is_empty() || !host.ended.is_empty() {
@@ -160,7 +214,13 @@
             }
             let idle = host.idle_since.map_or(0, |s| now.saturating_sub(s));
             let patience = idle_return.get(&host.flavor).copied().unwrap_or(u64::MAX);
-            if host.closing.is_none() && host.heard && settled && !needed && idle >= patience {
+            if host.closing.is_none()
+                && host.heard
+                && settled
+                && !needed
+                && idle >= patience
+                && !spares.contains(name)
+            {
                 host.closing = Some("idle");
             }
             // Silence while this node could not answer is not the machine's.
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -134,6 +134,21 @@
     deleting: HashSet<String>,
     fleet_after: u64,
     last_round: u64,
+    /// What was seen of each lane.
+    lanes: HashMap<String, Lane>,
+}
+
+/// What was seen of a lane.
+#[derive(Debug, Clone)]
+struct Lane {
+    /// The largest task.
+    need: hookway_policy::Room,
+    /// The largest image, GB.
+    image_gb: f64,
+    /// Its images.
+    images: HashSet<u32>,
+    /// Whether its jobs may use spot machines.
+    loaners: bool,
 }
 
 impl Ledger {
@@ -172,6 +187,7 @@
             deleting: HashSet::new(),
             fleet_after: 0,
             last_round: 0,
+            lanes: HashMap::new(),
         };
         ledger.load(loaded, at);
         ledger
@@ -264,6 +280,19 @@
             record.spec.bundle,
             record.spec.image_gb
         );
+        let need = hookway_policy::Room::of_task(&record.spec);
+        let lane = self.lanes.entry(record.spec.lane.clone()).or_insert_with(|| Lane {
+            need,
+            image_gb: 0.0,
+            images: HashSet::new(),
+            loaners: true,
+        });
+        lane.need.cpus = lane.need.cpus.max(need.cpus);
+        lane.need.gpus = lane.need.gpus.max(need.gpus);
+        lane.need.ram = lane.need.ram.max(need.ram);
+        lane.image_gb = lane.image_gb.max(record.spec.image_gb);
+        lane.images.insert(image);
+        lane.loaners &= record.spec.loaners;
         let job = Job::new(record, due, team, image, zones, inherited, at);
         self.by_id.insert(id, key);
         self.jobs.insert(key, job);
