--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -106,6 +106,8 @@
 pub const TIGHT_VICTIM_WEIGHT: f64 = 3.0;
 /// A command to stop that has had no effect is sent again with no grace after SnapshotS and this, ms.
 pub const STOP_PATIENCE_MS: u64 = 10_000;
+/// A job counts as late once its deadline is less than this many of its task times away.
+pub const LATE_TASK_TIMES: f64 = 0.0;
 /// Deadline assumed, in multiples of the estimate, when sizing the fleet for deadline-free jobs.
 pub const FREE_JOB_STRETCH: f64 = 2.0;
 /// What placing a task on an empty machine costs against one that is in use, s of image fetch.
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -1,4 +1,5 @@
 use crate::{JobView, minimum};
+use hookway_constants as constants;
 
 /// One job's turn: up to `tasks` of its tasks are to be placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,6 +16,13 @@
     job.due.unwrap_or(f64::INFINITY)
 }
 
+/// Whether the job is late already. Such a job's minimum is all its tasks for the rest of its life;
+/// after a burst, a few of them would make every later job late as well (the design page's second
+/// weak spot). So late jobs come after those that can still be in time.
+fn late(job: &JobView, now: f64) -> bool {
+    job.due.is_some_and(|due| now + constants::LATE_TASK_TIMES * job.task_time() > due)
+}
+
 /// The order of the design, within each rank: jobs with nothing finished or running first, oldest
 /// first; then earliest deadline, each up to its minimum; what is left goes in the same order, jobs
 /// without a deadline last.
@@ -28,8 +36,9 @@
     let mut seen: Vec<usize> = open.iter().copied().filter(|i| !jobs[*i].unseen()).collect();
     seen.sort_by(|a, b| {
         let (a, b) = (&jobs[*a], &jobs[*b]);
-        b.rank
-            .cmp(&a.rank)
+        late(a, now)
+            .cmp(&late(b, now))
+            .then(b.rank.cmp(&a.rank))
             .then(due(a).total_cmp(&due(b)))
             .then(a.submitted.total_cmp(&b.submitted))
     });
@@ -48,7 +57,10 @@
     }
     // Leftovers: the same order, deadline-free jobs after those with a deadline of their own.
     let mut rest: Vec<usize> = unseen.into_iter().chain(seen).filter(|i| !jobs[*i].gang).collect();
-    rest.sort_by_key(|i| (std::cmp::Reverse(jobs[*i].rank), !jobs[*i].own_deadline));
+    rest.sort_by_key(|i| {
+        let job = &jobs[*i];
+        (late(job, now), std::cmp::Reverse(job.rank), !job.own_deadline)
+    });
     for job in rest {
         list.push(Turn { job, tasks: jobs[job].startable, leftover: true });
     }
