--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -98,6 +98,9 @@
 /// Stops of one machine's work for a job of higher rank wait this long for machines to free up by
 /// themselves, ms.
 pub const PREEMPT_AFTER_MS: u64 = 200;
+/// A gang that has found no room for this long has machines kept for it, ms. Long enough for
+/// tasks to end by themselves, short against what users wait for.
+pub const GANG_HOLD_AFTER_MS: u64 = 5_000;
 /// Time until a command to stop has taken effect and room is free, s: a report and a half.
 pub const EVICTION_DELAY_S: f64 = 3.0;
 /// Weight of the work that a task loses when it makes room, if its job is late already.
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -1,5 +1,5 @@
 use crate::preempt::worth_evicting;
-use crate::{HostView, JobView, TeamView, World, turns};
+use crate::{HostView, JobView, Room, TeamView, World, turns};
 use hookway_constants as constants;
 
 /// Tasks of a job that are to start, one entry a task.
@@ -156,22 +156,94 @@
 /// allowed machines are kept to; the world is updated with what was placed.
 pub fn place(world: &mut World) -> Vec<Placement> {
     let mut all: Vec<Placement> = Vec::new();
+    let mut reserved: Vec<(usize, Room)> = Vec::new();
+    let mut room_kept = false;
     for turn in turns(&world.jobs, world.now) {
         let hosts = place_job(world, turn.job, turn.tasks);
         if !hosts.is_empty() {
             all.push(Placement { job: turn.job, hosts });
+            continue;
+        }
+        let job = &world.jobs[turn.job];
+        if !job.gang || turn.leftover {
+            continue;
+        }
+        // A gang needs all at once, so arrays that take each bit that comes free would keep it
+        // waiting for ever. What the first such gang of a team needs of the limit is
+        // set aside at once;
+        let whole = job.need.times(job.startable);
+        let team_ix = job.team;
+        if let Some(team) = world.teams.get_mut(team_ix)
+            && team.allows(&whole) == 0
+            && reserved.iter().all(|(t, _)| *t != team_ix)
+        {
+            team.used.give(&whole);
+            reserved.push((team_ix, whole));
+            continue;
         }
+        // and machines, one gang at a time, once it has waited a while.
+        let waited = world.now - world.jobs[turn.job].waiting_since;
+        if !room_kept && waited * 1000.0 >= constants::GANG_HOLD_AFTER_MS as f64 {
+            room_kept = keep_room(world, turn.job);
+        }
+    }
+    for (team, whole) in reserved {
+        world.teams[team].used.take(&whole);
     }
     all
 }
 
+/// Keeps machines for a waiting gang: those that would have room for it soonest.
+fn keep_room(world: &mut World, job_ix: usize) -> bool {
+    let job = &world.jobs[job_ix];
+    let mut candidates: Vec<usize> = (0..world.hosts.len())
+        .filter(|i| {
+            let h = &world.hosts[*i];
+            h.open
+                && !h.booting
+                && h.kept_for.is_none_or(|k| k == job_ix)
+                && job.allows(h.flavor, h.yard, h.loaner)
+                && h.total.fits(&job.need)
+        })
+        .collect();
+    let used = |i: &usize| 1.0 - world.hosts[*i].free.share_of(&world.hosts[*i].total);
+    candidates.sort_by(|a, b| used(a).total_cmp(&used(b)));
+    let options: Vec<Option<usize>> =
+        if job.together { (0..zones(world)).map(Some).collect() } else { vec![None] };
+    for zone in options {
+        let mut per_zone = vec![0u32; zones(world)];
+        let mut chosen = Vec::new();
+        let mut left = job.startable;
+        for i in &candidates {
+            let host = &world.hosts[*i];
+            if left == 0 || zone.is_some_and(|z| z != host.yard) {
+                continue;
+            }
+            let open = job.zone_cap.saturating_sub(per_zone[host.yard]);
+            let fits = host.total.count(&job.need).min(left).min(open);
+            if fits > 0 {
+                per_zone[host.yard] += fits;
+                left -= fits;
+                chosen.push(*i);
+            }
+        }
+        if left == 0 {
+            for i in chosen {
+                world.hosts[i].kept_for = Some(job_ix);
+            }
+            return true;
+        }
+    }
+    false
+}
+
 /// Whether the job can run at all: a task fits an allowed machine type, and its team's limit allows
 /// one task of an array or all tasks of a gang. The error says why not.
 pub fn fits_somewhere(job: &JobView, team: &TeamView, types: usize) -> Result<(), String> {
     if !(0..types).any(|f| job.flavors.get(f).copied().unwrap_or(false)) {
         return Err("a task fits no allowed machine type".into());
     }
-    let fresh = TeamView { used: crate::Room::default(), ..team.clone() };
+    let fresh = TeamView { used: Room::default(), ..team.clone() };
     let least = if job.gang { job.pieces } else { 1 };
     if fresh.allows(&job.need) < least {
         return Err("the job needs more than its team's limit".into());
@@ -182,7 +254,6 @@
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
-    use crate::Room;
     use hookway_wire::{Flavor, Rank};
 
     pub(crate) fn job(cpus: f64, pieces: u32) -> JobView {
@@ -292,6 +363,29 @@
         assert_eq!(placed.iter().map(|p| p.hosts.len()).sum::<usize>(), 4);
     }
 
+    #[test]
+    fn arrays_do_not_starve_a_gang_of_its_teams_limit_or_of_room() {
+        // The limit: 4 of 6 CPUs are in use, the gang needs 4; the array must not take the rest.
+        let gang = JobView { gang: true, ..job(2.0, 2) };
+        let array = JobView { running: 4, finished: 1, mean: Some(9.0), ..job(1.0, 50) };
+        let mut w = world(vec![gang.clone(), array.clone()], vec![host(0), host(1)]);
+        w.teams[0].limit = (6.0, 0.0);
+        w.teams[0].used.cpus = 4.0;
+        assert_eq!(place(&mut w), []);
+        // Room: the gang needs 4 CPUs on each of two machines that have 1 free each.
+        let gang = JobView { gang: true, ..job(4.0, 2) };
+        let mut busy = [host(0), host(1)];
+        for h in &mut busy {
+            h.free.cpus = 1.0;
+        }
+        let mut w = world(vec![gang, array], busy.to_vec());
+        w.now = 1.0;
+        assert_eq!(place(&mut w).len(), 1, "at first what is free is used");
+        let mut w = world(w.jobs.clone(), busy.to_vec());
+        w.now = 20.0;
+        assert_eq!(place(&mut w), [], "later it is kept for the gang");
+    }
+
     #[test]
     fn machines_that_hold_the_image_are_preferred() {
         let warm = HostView { images: vec![1], ..host(1) };
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -105,6 +105,7 @@
         let tasks = if job.gang { job.startable } else { 1 };
         let team_allows = world.teams.get(job.team).is_none_or(|t| t.allows(&job.need) >= tasks);
         if !team_allows {
+            all.extend(evict_for_quota(world, job_ix, tasks));
             continue;
         }
         if let Some(found) =
@@ -119,6 +120,36 @@
     all
 }
 
+/// The team's own work of lower rank whose end brings its use far enough below its limit.
+fn evict_for_quota(world: &World, job_ix: usize, tasks: u32) -> Option<Eviction> {
+    let job = &world.jobs[job_ix];
+    let mut team = world.teams.get(job.team)?.clone();
+    let mut candidates: Vec<(f64, usize, &HeldView)> = Vec::new();
+    for (i, host) in world.hosts.iter().enumerate() {
+        for held in &host.held {
+            let other = &world.jobs[held.job];
+            if other.team != job.team {
+                continue;
+            }
+            if held.leaving {
+                team.used.take(&held.need);
+            } else if other.rank < job.rank {
+                candidates.push((loss(world, held), i, held));
+            }
+        }
+    }
+    candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut found = Eviction { job: job_ix, hosts: vec![], victims: vec![] };
+    for (_, host, held) in candidates {
+        if team.allows(&job.need) >= tasks {
+            break;
+        }
+        team.used.take(&held.need);
+        found.victims.push((host, held.tag));
+    }
+    (team.allows(&job.need) >= tasks && !found.victims.is_empty()).then_some(found)
+}
+
 fn evict_for(world: &World, job_ix: usize, tasks: u32, taken: &[bool]) -> Option<Eviction> {
     let job = &world.jobs[job_ix];
     let mut zones: Vec<Option<usize>> = vec![None];
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -47,6 +47,12 @@
         self.ram += need.ram;
     }
 
+    /// So many times this.
+    pub fn times(&self, n: u32) -> Self {
+        let n = f64::from(n);
+        Self { cpus: self.cpus * n, gpus: self.gpus * n, ram: self.ram * n }
+    }
+
     /// How many times `need` fits in.
     pub fn count(&self, need: &Self) -> u32 {
         let times = |have: f64, want: f64| {
