--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -131,7 +131,6 @@
             save_time: if job.spec.saves() { job.spec.snapshot_s } else { 0.0 },
             submitted: job.submitted,
             due: job.due,
-            own_deadline: job.spec.due_s.is_some(),
             guess: job.spec.guess_s,
             finished: job.done,
             mean: (job.timed > 0).then(|| job.sum_ms as f64 / 1000.0 / f64::from(job.timed)),
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -274,7 +274,6 @@
             save_time: 0.0,
             submitted: 0.0,
             due: None,
-            own_deadline: false,
             guess: 10.0,
             finished: 0,
             mean: None,
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -36,8 +36,6 @@
     pub submitted: f64,
     /// When it should be complete, s: its own deadline, or what the aims say of its class.
     pub due: Option<f64>,
-    /// Whether `due` is the job's own deadline.
-    pub own_deadline: bool,
     /// Owner's estimate of a task's time, s.
     pub guess: f64,
     /// Tasks that are finished.
