--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -57,7 +57,12 @@
         if !host.rostered {
             self.writer.want_rostered(name);
         }
-        self.unheard.remove(name);
+        // A report can be older than this leader's term although it is the newest that it has seen,
+        // and what the earlier leader started since is not in it. One that carries this term's token
+        // was sent after the worker had seen it, so it names everything.
+        if report.baton >= self.term {
+            self.unheard.remove(name);
+        }
         if new_session {
             tracing::info!("machine {name}: session {}, its tasks are gone", report.tenure);
             self.clear_host(name, now, Leave::Lost);
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -263,8 +263,9 @@
     let mut next = Play::lead(play.store.clone(), 2, 10_000);
     assert!(!next.ledger.settled(next.now));
     next.beat(&mut w);
-    assert!(next.ledger.settled(next.now));
     assert_eq!(w.baton, 2, "the token rises with the term");
+    next.beat(&mut w);
+    assert!(next.ledger.settled(next.now));
     next.settle(&mut [&mut w]);
     assert_eq!(w.live(), ["req-000001/0"], "what runs is left alone");
     assert_eq!(w.started.len(), 1);
@@ -274,6 +275,28 @@
     assert!(!w.take(&answer));
 }
 
+#[test]
+fn a_report_from_before_the_takeover_settles_nothing() {
+    let mut play = Play::start();
+    let (mut cut, mut near) = (small("m-1", "a"), small("m-2", "a"));
+    play.beat(&mut cut);
+    // This report is held back by the network; the start comes in the answer to the next one.
+    let held_back = cut.report();
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut cut]);
+    assert_eq!(cut.live(), ["req-000001/0"]);
+    // A new leader hears the old report first. It names no task, but proves nothing: only a report
+    // that carries the new token was surely sent after the takeover.
+    let mut next = Play::lead(play.store.clone(), 2, 9_000);
+    next.ledger.check_in(&held_back, next.now);
+    assert!(!next.ledger.settled(next.now));
+    for _ in 0..8 {
+        next.beat(&mut near);
+        next.wait(1_000);
+    }
+    assert_eq!(near.started, [], "the task still runs on the machine that is cut off");
+}
+
 #[test]
 fn late_reports_change_nothing() {
     let mut play = Play::start();
