--- /dev/null
+++ b/crates/controller/tests/api.rs
@@ -0,0 +1,217 @@
+//! The user interface without a state service: what must be refused is refused at once with a reason
+//! in JSON, and what can't be decided is answered 503 with `Retry-After`.
+#![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
+
+use hookway_clients::StoreClient;
+use hookway_controller::api::{Desk, service};
+use hookway_controller::config::Settings;
+use hookway_controller::lead::View;
+use hookway_controller::ledger::{Lookup, Withdrawal};
+use hookway_controller::node::{Ask, CheckInReply};
+use hookway_controller::peers::Peers;
+use hookway_wire::{CheckInAnswer, ErrorBody, Flavor, JobId, JobState, JobStatus};
+use salvo::Service;
+use salvo::http::StatusCode;
+use salvo::test::{ResponseExt, TestClient};
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::sync::{mpsc, watch};
+
+const SETTINGS: &str = r#"
+label = "worker-0"
+api_addr = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+[outside]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:1"
+[settings]
+zones = ["a"]
+[[settings.teams]]
+name = "vision"
+cpus_max = 100.0
+[settings.workers]
+report_s = 2.0
+lease_s = 14.0
+gang_wait_s = 35.0
+gang_peer_s = 4.0
+cancel_s = 44.0
+[settings.state]
+rps = 2000.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 8
+[settings.cloud]
+rps = 4.0
+list_lag_s = 4.0
+"#;
+
+const JOB: &str = r#"{"NameId":"req-000412","Lane":"train","Owner":"vision","Shape":"group","Rank":"high",
+ "Pieces":4,"Vcpus":8.0,"Gpus":0,"RamGb":64.0,"Bundle":"img-07","ImageGb":6.2,"Flavors":["g8"],"Yard":null,
+ "Together":true,"Spread":false,"Loaners":true,"GuessS":240.0,"SnapshotEveryS":30.0,"SnapshotS":4.0}"#;
+
+/// What the scripted node says of itself.
+#[derive(Clone, Copy, PartialEq)]
+enum Node {
+    Leads,
+    Follows,
+}
+
+fn known(id: &JobId, status: JobState) -> JobStatus {
+    JobStatus {
+        name_id: id.clone(),
+        status,
+        done: 1,
+        running: 0,
+        owner: Some("vision".into()),
+        commander: None,
+        notes: vec![],
+    }
+}
+
+/// A node's API with a scripted actor behind it and nothing where the state service should be.
+fn api(node: Node, flavors_known: bool) -> Service {
+    let (tx, mut asks) = mpsc::channel(16);
+    tokio::spawn(async move {
+        while let Some(ask) = asks.recv().await {
+            let leads = node == Node::Leads;
+            match ask {
+                Ask::CheckIn(_, reply) => {
+                    let answer = CheckInAnswer { baton: 7, orders: vec![] };
+                    let _ = reply.send(if leads {
+                        CheckInReply::Answer(answer)
+                    } else {
+                        CheckInReply::Elsewhere(Some("worker-2".into()))
+                    });
+                }
+                Ask::Status(id, reply) => {
+                    let answer = match id.as_str() {
+                        "req-000001" => Lookup::Known(known(&id, JobState::Running)),
+                        "req-000002" => Lookup::Known(known(&id, JobState::Done)),
+                        _ => Lookup::NotHere,
+                    };
+                    let _ = reply.send(leads.then_some(answer));
+                }
+                Ask::Withdraw(id, reply) => {
+                    let answer = Withdrawal::Over(known(&id, JobState::Withdrawn));
+                    let _ = reply.send(leads.then_some(answer));
+                }
+                Ask::Adopt(_, _, reply) => drop(reply.send(Some(()))),
+            }
+        }
+    });
+    let settings = Settings::parse(SETTINGS).expect("sound settings");
+    let flavor = Flavor {
+        label: "g8".into(),
+        vcpus: 96.0,
+        gpus: 8.0,
+        ram_gb: 768.0,
+        local_gb: 200.0,
+        fetch_gb_per_s: 1.0,
+        hourly: 12.0,
+        market_price: Some(4.5),
+        ready_s: 45.0,
+        yards: vec!["a".into()],
+    };
+    let (_, view) = watch::channel(View::default());
+    let (_, flavors) = watch::channel(flavors_known.then(|| Arc::new(vec![flavor])));
+    let store = StoreClient::new(&settings.outside.state, 2000.0);
+    let peers = Peers::new(HashMap::new());
+    let desk = Desk::new(settings.settings, settings.label, store, peers, tx, view, flavors);
+    service(Arc::new(desk))
+}
+
+async fn post(service: &Service, path: &str, body: &str) -> (StatusCode, String, bool) {
+    let url = format!("http://127.0.0.1:8080{path}");
+    let mut res = TestClient::post(url).body(body.to_owned()).send(service).await;
+    let retry = res.headers().contains_key("retry-after");
+    let text = res.take_string().await.unwrap_or_default();
+    (res.status_code.unwrap_or_default(), text, retry)
+}
+
+async fn get(service: &Service, path: &str) -> (StatusCode, String, bool) {
+    let url = format!("http://127.0.0.1:8080{path}");
+    let mut res = TestClient::get(url).send(service).await;
+    let retry = res.headers().contains_key("retry-after");
+    let text = res.take_string().await.unwrap_or_default();
+    (res.status_code.unwrap_or_default(), text, retry)
+}
+
+fn reason(text: &str) -> String {
+    serde_json::from_str::<ErrorBody>(text).expect("a JSON error").error
+}
+
+#[tokio::test]
+async fn malformed_submissions_get_400_with_a_reason() {
+    let api = api(Node::Leads, true);
+    let long = format!("{{\"NameId\":\"{}\"}}", "x".repeat(70_000));
+    for body in ["", "[]", "{}", "nonsense", &long, &JOB.replace("8.0", "-8.0")] {
+        let (status, text, _) = post(&api, "/api/jobs", body).await;
+        assert_eq!(status, StatusCode::BAD_REQUEST, "{text}");
+        assert!(!reason(&text).is_empty());
+    }
+}
+
+#[tokio::test]
+async fn a_job_that_may_be_known_is_not_refused_for_good_while_the_store_is_away() {
+    let api = api(Node::Leads, true);
+    // Whether this id was accepted once can't be read, so 422 would be a guess.
+    let body = JOB.replace("\"vision\"", "\"nobody\"");
+    let (status, text, retry) = post(&api, "/api/jobs", &body).await;
+    assert_eq!((status, retry), (StatusCode::SERVICE_UNAVAILABLE, true), "{text}");
+}
+
+#[tokio::test]
+async fn what_can_not_be_decided_gets_503_and_a_time_to_come_back() {
+    for (node, flavors) in [(Node::Leads, false), (Node::Leads, true), (Node::Follows, true)] {
+        let api = api(node, flavors);
+        let (status, text, retry) = post(&api, "/api/jobs", JOB).await;
+        assert_eq!((status, retry), (StatusCode::SERVICE_UNAVAILABLE, true), "{text}");
+        let (status, _, retry) = get(&api, "/api/jobs/req-000404").await;
+        assert_eq!((status, retry), (StatusCode::SERVICE_UNAVAILABLE, true), "absence is unproven");
+    }
+    let api = api(Node::Follows, true);
+    let (status, ..) = post(&api, "/api/jobs/req-000001/withdraw", "{}").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+#[tokio::test]
+async fn a_final_state_is_kept_and_told_even_without_the_leader() {
+    let api = api(Node::Leads, true);
+    let (status, text, _) = get(&api, "/api/jobs/req-000002").await;
+    assert_eq!(status, StatusCode::OK);
+    let told: JobStatus = serde_json::from_str(&text).expect("a status");
+    assert_eq!(told.status, JobState::Done);
+    // The same id submitted again: its state, from memory, with the store away.
+    let (status, text, _) = post(&api, "/api/jobs", &JOB.replace("000412", "000002")).await;
+    assert_eq!(status, StatusCode::OK);
+    let told: JobStatus = serde_json::from_str(&text).expect("a status");
+    assert_eq!(told.status, JobState::Done);
+    let (status, text, _) = post(&api, "/api/jobs/req-000002/withdraw", "").await;
+    let told: JobStatus = serde_json::from_str(&text).expect("a status");
+    assert_eq!((status, told.status), (StatusCode::OK, JobState::Done), "done stays done");
+}
+
+#[tokio::test]
+async fn odd_paths_ids_and_methods_get_json_errors() {
+    let api = api(Node::Leads, true);
+    for path in ["/", "/api/jobs/job-1", "/api/jobs/req-1/x", "/api/jobs/%00", "/nowhere"] {
+        let (status, text, _) = get(&api, path).await;
+        assert_eq!(status, StatusCode::NOT_FOUND, "{path}");
+        assert!(!reason(&text).is_empty());
+    }
+    let (status, text, _) = get(&api, "/api/jobs").await;
+    assert!(status.is_client_error(), "{text}");
+    assert!(!reason(&text).is_empty());
+    assert_eq!(get(&api, "/up").await.0, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn workers_are_answered_by_the_leader_and_sent_on_by_others() {
+    let report = r#"{"Host":"m-1","Addr":"127.0.0.1:9000","Flavor":"g8","Yard":"a","Loaners":true,
+        "Tenure":1,"Tick":88,"Baton":41,"EvictionS":null,"Pieces":[]}"#;
+    let (status, text, _) = post(&api(Node::Leads, true), "/checkin", report).await;
+    assert_eq!((status, text.as_str()), (StatusCode::OK, r#"{"Baton":7,"Orders":[]}"#));
+    let (status, text, _) = post(&api(Node::Follows, true), "/checkin", report).await;
+    assert_eq!(status, StatusCode::MISDIRECTED_REQUEST);
+    assert_eq!(text, r#"{"Foreman":"worker-2"}"#);
+}
