--- /dev/null
+++ b/crates/controller/tests/leadership.rs
@@ -0,0 +1,104 @@
+//! Leadership against a state service on loopback whose leases end when the test says so. The tests
+//! wait for events, not for time.
+#![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
+
+use hookway_clients::StoreClient;
+use hookway_controller::lead::{Clock, Leadership, Mandate, Validity, View};
+use hookway_controller::records::{LEAD_NOW, LEAD_TERM, LeadRecord};
+use hookway_testkit::StoreServer;
+use hookway_wire::{Change, Transaction};
+use std::sync::Arc;
+use tokio::sync::{Notify, watch};
+
+struct Node {
+    view: watch::Receiver<View>,
+    validity: Arc<Validity>,
+    clock: Clock,
+}
+
+fn start(label: &str, address: &str) -> Node {
+    let (view_tx, view) = watch::channel(View::default());
+    let validity = Arc::new(Validity::default());
+    let clock = Clock::default();
+    let leadership = Leadership {
+        label: label.into(),
+        store: StoreClient::new(address, 1_000.0),
+        clock,
+        validity: validity.clone(),
+        view: view_tx,
+        doubt: Arc::new(Notify::new()),
+    };
+    tokio::spawn(leadership.run());
+    Node { view, validity, clock }
+}
+
+async fn leads(node: &mut Node) -> Mandate {
+    let view = node.view.wait_for(|v| v.mandate.is_some()).await.expect("the actor lives");
+    view.mandate.clone().expect("just seen")
+}
+
+#[tokio::test]
+async fn a_lost_lease_ends_the_term_and_the_next_one_is_higher() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let mut one = start("one", &address);
+    let first = leads(&mut one).await;
+    assert_eq!(first.term, 1);
+    assert!(one.validity.holds(one.clock.now()));
+    let mut two = start("two", &address);
+    two.view.wait_for(|v| v.leader.as_deref() == Some("one")).await.expect("the actor lives");
+    assert_eq!(two.view.borrow().mandate, None, "one leader at a time");
+    // The lease ends, as it does when it is not extended in time.
+    server.end(first.permit);
+    let second = tokio::select! {
+        m = leads(&mut two) => m,
+        m = async { one.view.wait_for(|v| v.mandate.as_ref().is_some_and(|m| m.term > 1)).await
+            .expect("the actor lives").mandate.clone().expect("just seen") } => m,
+    };
+    assert_eq!(second.term, 2);
+    // What the deposed leader still has under way is guarded by a version that is gone.
+    let late = Transaction {
+        guards: vec![first.guard],
+        apply: vec![Change::put("f/req-000001", serde_json::json!("late"))],
+    };
+    assert!(server.with(|store| store.commit(&late)).is_err());
+}
+
+#[tokio::test]
+async fn a_restarted_node_ends_the_lease_of_its_earlier_process() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let permit = server.grant();
+    let record = LeadRecord { label: "one".into(), term: 4, nonce: 1 };
+    let before = Transaction {
+        guards: vec![],
+        apply: vec![
+            Change::Put {
+                put: LEAD_NOW.into(),
+                v: serde_json::to_value(record).expect("a record"),
+                permit: Some(permit),
+            },
+            Change::put(LEAD_TERM, serde_json::json!(4)),
+        ],
+    };
+    server.with(|store| store.commit(&before)).expect("applied");
+    let mut one = start("one", &address);
+    assert_eq!(leads(&mut one).await.term, 5);
+    assert!(!server.end(permit), "the old lease is over");
+}
+
+#[tokio::test]
+async fn after_an_outage_the_same_term_goes_on() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let mut one = start("one", &address);
+    let first = leads(&mut one).await;
+    server.refuse(true);
+    // Several extensions fail; the lease itself lasts, as all do over an outage.
+    server.refused(3).await;
+    server.refuse(false);
+    let two = start("two", &address);
+    let mut view = two.view.clone();
+    view.wait_for(|v| v.leader.as_deref() == Some("one")).await.expect("the actor lives");
+    assert_eq!(one.view.borrow().mandate, Some(first));
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,8 +1,10 @@
-//! Stand-ins for tests of hookway, written to the published protocol: a state service in memory and
-//! a worker that does as it is told. Neither reads a clock.
+//! Stand-ins for tests of hookway, written to the published protocol: a state service in memory, also
+//! over HTTP on loopback, and a worker that does as it is told. None of them reads a clock.
 
+mod server;
 mod store;
 mod worker;
 
+pub use server::StoreServer;
 pub use store::MemoryStore;
 pub use worker::ScriptedWorker;
--- /dev/null
+++ b/crates/testkit/src/server.rs
@@ -0,0 +1,176 @@
+use crate::MemoryStore;
+use hookway_wire::{CommitAnswer, Event, Grant, KeyPage, Transaction, WatchAnswer};
+use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::StatusCode;
+use salvo::prelude::*;
+use serde_json::json;
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+
+/// Everything behind the server.
+#[derive(Debug, Default)]
+struct Inner {
+    store: MemoryStore,
+    permits: HashSet<u64>,
+    next_permit: u64,
+    refusing: bool,
+    refused: usize,
+}
+
+/// A state service over HTTP on loopback. Leases last until the test ends them.
+#[derive(Debug, Clone, Default)]
+pub struct StoreServer {
+    inner: Arc<Mutex<Inner>>,
+    changed: Arc<Notify>,
+}
+
+impl StoreServer {
+    /// Starts serving; the address.
+    pub async fn start(&self) -> std::io::Result<String> {
+        let acceptor: TcpAcceptor = TcpListener::new("127.0.0.1:0")
+            .try_bind()
+            .await
+            .map_err(|e| std::io::Error::other(e.to_string()))?;
+        let address = acceptor.local_addr()?.to_string();
+        let at = |what| Route(self.clone(), what);
+        let router = Router::new()
+            .push(Router::with_path("keys").get(at(What::List)))
+            .push(Router::with_path("keys/{**key}").get(at(What::Get)))
+            .push(Router::with_path("commit").post(at(What::Commit)))
+            .push(Router::with_path("grants").post(at(What::Grant)))
+            .push(Router::with_path("grants/{id}").delete(at(What::End)))
+            .push(Router::with_path("grants/{id}/extend").post(at(What::Extend)))
+            .push(Router::with_path("watch").get(at(What::Watch)));
+        tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+        Ok(address)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Works on the keys.
+    pub fn with<T>(&self, work: impl FnOnce(&mut MemoryStore) -> T) -> T {
+        let result = work(&mut self.lock().store);
+        self.changed.notify_waiters();
+        result
+    }
+
+    /// A lease without a request.
+    pub fn grant(&self) -> u64 {
+        let mut inner = self.lock();
+        inner.next_permit += 1;
+        let permit = inner.next_permit;
+        inner.permits.insert(permit);
+        permit
+    }
+
+    /// Ends a lease, as if it had not been extended in time.
+    pub fn end(&self, permit: u64) -> bool {
+        let mut inner = self.lock();
+        let had = inner.permits.remove(&permit);
+        inner.store.end_permit(permit);
+        drop(inner);
+        self.changed.notify_waiters();
+        had
+    }
+
+    /// Waits until so many requests have been refused.
+    pub async fn refused(&self, requests: usize) {
+        loop {
+            let changed = self.changed.notified();
+            if self.lock().refused >= requests {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Begins or ends an outage.
+    pub fn refuse(&self, refusing: bool) {
+        self.lock().refusing = refusing;
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum What {
+    List,
+    Get,
+    Commit,
+    Grant,
+    End,
+    Extend,
+    Watch,
+}
+
+struct Route(StoreServer, What);
+
+#[async_trait]
+impl Handler for Route {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let Self(server, what) = self;
+        let refusing = server.lock().refusing;
+        if refusing {
+            server.lock().refused += 1;
+            server.changed.notify_waiters();
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        let prefix = req.query::<String>("Prefix").unwrap_or_default();
+        let id = req.param::<u64>("id").unwrap_or_default();
+        match what {
+            What::List => {
+                let store = &server.lock().store;
+                let pairs = store.list(&prefix);
+                res.render(Json(KeyPage { pairs, has_next: false, epoch: store.epoch() }));
+            }
+            What::Get => {
+                let key = req.param::<String>("key").unwrap_or_default();
+                let inner = server.lock();
+                match inner.store.get(&key) {
+                    Some(kv) => res.render(Json(kv)),
+                    None => {
+                        res.status_code(StatusCode::NOT_FOUND);
+                        res.render(Json(json!({ "Epoch": inner.store.epoch() })));
+                    }
+                }
+            }
+            What::Commit => {
+                let Ok(transaction) = req.parse_json::<Transaction>().await else {
+                    res.status_code(StatusCode::BAD_REQUEST);
+                    return;
+                };
+                let outcome = server.with(|store| store.commit(&transaction));
+                let epoch = server.lock().store.epoch();
+                match outcome {
+                    Ok(epoch) => res.render(Json(CommitAnswer { failed: vec![], epoch })),
+                    Err(failed) => {
+                        res.status_code(StatusCode::CONFLICT);
+                        res.render(Json(CommitAnswer { failed, epoch }));
+                    }
+                }
+            }
+            What::Grant => res.render(Json(Grant { permit: server.grant() })),
+            What::Extend if server.lock().permits.contains(&id) => res.render(Json(json!({}))),
+            What::End if server.end(id) => res.render(Json(json!({}))),
+            What::Extend | What::End => {
+                res.status_code(StatusCode::NOT_FOUND);
+            }
+            What::Watch => {
+                let after = req.query::<u64>("After").unwrap_or_default();
+                let events = loop {
+                    let changed = server.changed.notified();
+                    let events: Vec<Event> = server.lock().store.events(&prefix, after);
+                    if !events.is_empty() {
+                        break events;
+                    }
+                    changed.await;
+                };
+                let epoch = server.lock().store.epoch();
+                res.render(Json(WatchAnswer { epoch, events }));
+            }
+        }
+    }
+}
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -1,4 +1,4 @@
-use hookway_wire::{Change, KeyValue, Transaction};
+use hookway_wire::{Change, Event, KeyValue, Transaction};
 use serde_json::Value;
 use std::collections::BTreeMap;
 
@@ -7,6 +7,7 @@
 pub struct MemoryStore {
     keys: BTreeMap<String, KeyValue>,
     epoch: u64,
+    events: Vec<(u64, Event)>,
 }
 
 impl MemoryStore {
@@ -35,10 +36,10 @@
                         permit: *permit,
                     };
                     self.keys.insert(put.clone(), kv);
+                    let event = Event::Put { put: put.clone(), v: v.clone(), stamp: self.epoch };
+                    self.events.push((self.epoch, event));
                 }
-                Change::Delete { delete } => {
-                    self.keys.remove(delete);
-                }
+                Change::Delete { delete } => self.remove(delete.clone()),
             }
         }
         Ok(self.epoch)
@@ -60,9 +61,39 @@
         self.keys.values().filter(|kv| kv.key.starts_with(prefix)).cloned().collect()
     }
 
+    fn remove(&mut self, key: String) {
+        if self.keys.remove(&key).is_some() {
+            let event = Event::Delete { delete: key, stamp: self.epoch };
+            self.events.push((self.epoch, event));
+        }
+    }
+
     /// A lease ends: its keys go.
     pub fn end_permit(&mut self, permit: u64) {
         self.epoch += 1;
-        self.keys.retain(|_, kv| kv.permit != Some(permit));
+        let keys: Vec<String> = self
+            .keys
+            .values()
+            .filter(|kv| kv.permit == Some(permit))
+            .map(|kv| kv.key.clone())
+            .collect();
+        for key in keys {
+            self.remove(key);
+        }
+    }
+
+    /// The revision.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Changes of keys with a prefix after a revision.
+    pub fn events(&self, prefix: &str, after: u64) -> Vec<Event> {
+        let key = |e: &Event| match e {
+            Event::Put { put, .. } => put.clone(),
+            Event::Delete { delete, .. } => delete.clone(),
+        };
+        let wanted = |(epoch, e): &&(u64, Event)| *epoch > after && key(e).starts_with(prefix);
+        self.events.iter().filter(wanted).map(|(_, e)| e.clone()).collect()
     }
 }
