--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -71,6 +71,22 @@
 /// A machine is returned once it has been idle for this many times what a new one takes to boot and
 /// to fetch an image. 1 is the break-even of the cost; above it, late work is spared.
 pub const IDLE_RETURN_FACTOR: f64 = 1.0;
+/// How long a new leader waits for machines of the roster before it returns those that have not
+/// reported, ms: time for a worker to try each node, with one that hangs among them.
+pub const UNHEARD_RETURN_MS: u64 = 9_000;
+/// Only if their lease lasts this much longer, ms.
+pub const UNHEARD_WORTH_MS: u64 = 6_000;
+/// A leader that has heard no worker for this many report intervals, although it has machines,
+/// steps down: it may be cut off from them alone.
+pub const DESERTED_REPORTS: f64 = 3.0;
+/// The least time for that, ms.
+pub const DESERTED_LEAST_MS: u64 = 5_000;
+/// A machine that was in the roster this long ago has booted, or never will, ms.
+pub const SURELY_UP_MS: u64 = 60_000;
+/// Pause before a node that gave up leadership stands again, ms. Others are quicker.
+pub const ABSTAIN_MS: u64 = 2_500;
+/// Pause after a step-down for lack of reports before the node does that again, ms.
+pub const DESERTED_AGAIN_MS: u64 = 60_000;
 /// How long a machine may stay silent after its lease is surely over before it is returned, ms.
 pub const SILENT_RETURN_MS: u64 = 6_000;
 /// After this many list lags without an entry, a machine that had been listed is gone.
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -122,6 +122,9 @@
 /// The `settings` table.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Params {
+    /// How far the time of day may be off, ms.
+    #[serde(default)]
+    pub clock_off_ms: f64,
     /// Zones.
     pub zones: Vec<String>,
     /// Teams.
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -256,10 +256,10 @@
         let mandate = Mandate { term: record.term, guard, permit };
         self.publish(Some(self.label.clone()), Some(mandate));
         let mut pause = if until == 0 { 0 } else { constants::LEADER_EXTEND_EVERY_MS };
-        loop {
+        let gave_up = loop {
             tokio::select! {
                 () = self.pause(pause) => {}
-                () = self.doubt.notified() => break,
+                () = self.doubt.notified() => break true,
             }
             let sent = self.clock.now();
             match self.store.extend(permit).await {
@@ -267,17 +267,21 @@
                     self.validity.set(valid_until(sent, constants::LEADER_TTL_MS));
                     pause = constants::LEADER_EXTEND_EVERY_MS;
                 }
-                Err(StoreError::NoLease) => break,
+                Err(StoreError::NoLease) => break false,
                 Err(e) => {
                     tracing::debug!("extending the lease: {e}");
                     pause = constants::LEADER_RETRY_MS;
                 }
             }
-        }
+        };
         self.validity.set(0);
         tracing::info!("not leading any more");
         self.publish(None, None);
         let _ = self.store.release(permit).await;
+        if gave_up {
+            // Another node shall have it.
+            self.pause(constants::ABSTAIN_MS).await;
+        }
     }
 }
 
--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -194,7 +194,7 @@
         while commit.transaction.apply.len() < most
             && let Some(host) = self.writer.roster.pop_front()
         {
-            let value = serde_json::json!({ "term": self.term });
+            let value = serde_json::json!({ "term": self.term, "at_ms": self.wall });
             commit.transaction.apply.push(Change::put(roster_key(&host), value));
             commit.items.push(Item::Roster(host));
         }
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -201,6 +201,13 @@
         let idle_return: HashMap<String, u64> =
             self.flavors.iter().map(|f| (f.label.clone(), self.idle_return(f))).collect();
         let mut doomed = Vec::new();
+        let waiting = self.jobs.values().any(|j| j.inherited && j.live() && !j.free.is_empty());
+        // Not when most are silent: then it is this node that can't be reached.
+        let unheard_go = !settled
+            && waiting
+            && self.unheard.len() * 2 < self.hosts.len()
+            && now >= self.won_at.max(self.resumed_at) + constants::UNHEARD_RETURN_MS
+            && now + constants::UNHEARD_WORTH_MS < self.unheard_until;
         let spares = self.spares(now);
         for (name, host) in &mut self.hosts {
             let needed = names.iter().position(|n| n == name).is_some_and(|i| needed[i]);
@@ -240,6 +247,11 @@
             if never_up {
                 host.closing = Some("never came up");
             }
+            // Work of earlier terms waits for machines that have not reported. A deletion proves
+            // what is on them gone, sooner than their lease would.
+            if unheard_go && self.unheard.contains(name) {
+                host.closing = Some("not heard since the takeover");
+            }
             let empty = host.held.is_empty() && host.ended.is_empty();
             let taken = host.notice.is_some() && host.heard;
             if (host.closing.is_some() || taken) && empty {
@@ -320,7 +332,7 @@
                 host.loaner = entry.loaners;
                 host.born = host.born.min(now.saturating_sub(age_ms));
             }
-            host.first_listed.get_or_insert(now);
+            host.first_listed.get_or_insert(now as i64);
             if entry.status == HostState::Failed && host.closing != Some("failed") {
                 tracing::info!("machine {name}: failed");
                 host.closing = Some("failed");
@@ -336,7 +348,7 @@
             .hosts
             .iter()
             .filter(|(name, host)| {
-                host.first_listed.is_some_and(|f| asked > f + lag)
+                host.first_listed.is_some_and(|f| asked as i64 > f + lag as i64)
                     && !list.iter().any(|e| e.name_id == **name)
             })
             .map(|(name, _)| name.clone())
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -134,6 +134,10 @@
     deleting: HashSet<String>,
     fleet_after: u64,
     last_round: u64,
+    /// Time of day when it was last known, ms: goes into records, decides nothing of safety alone.
+    wall: u64,
+    /// When this leader won, ms.
+    won_at: u64,
     /// What was seen of each lane.
     lanes: HashMap<String, Lane>,
 }
@@ -187,6 +191,8 @@
             deleting: HashSet::new(),
             fleet_after: 0,
             last_round: 0,
+            wall: at.wall,
+            won_at: at.now,
             lanes: HashMap::new(),
         };
         ledger.load(loaded, at);
@@ -228,6 +234,15 @@
             let Some(name) = kv.key.strip_prefix(crate::records::ROSTER) else { continue };
             let mut host = Host::new(at.now);
             host.rostered = true;
+            // Old enough entries must be in any list from now on, or the machine is gone. Times of
+            // day may be off on either side.
+            if let Some(since) = kv.v.get("at_ms").and_then(serde_json::Value::as_u64) {
+                let off = self.setup.params.clock_off_ms * 2.0 + 1000.0;
+                let age = at.wall as f64 - since as f64 - off;
+                if age > 0.0 {
+                    host.first_listed = Some(at.now as i64 - age as i64);
+                }
+            }
             self.hosts.insert(name.to_owned(), host);
             self.unheard.insert(name.to_owned());
         }
@@ -393,6 +408,29 @@
         }
     }
 
+    /// Whether no worker has reported for several intervals although some should: this node may be
+    /// cut off from the workers alone, while another one is not.
+    pub fn deserted(&self, now: u64) -> bool {
+        let report_ms = self.setup.params.workers.report_s * 1000.0;
+        let limit =
+            ((report_ms * constants::DESERTED_REPORTS) as u64).max(constants::DESERTED_LEAST_MS);
+        let mut expected = 0;
+        let mut latest = self.won_at.max(self.resumed_at);
+        for (name, host) in &self.hosts {
+            // Machines that have reported here, and those of the roster that must be up by now.
+            let old = host
+                .first_listed
+                .is_some_and(|since| since + (constants::SURELY_UP_MS as i64) < self.won_at as i64);
+            if host.heard && host.dead_tenure < host.newest.0 {
+                expected += 1;
+                latest = latest.max(host.last_answer);
+            } else if !host.heard && old && self.unheard.contains(name) {
+                expected += 1;
+            }
+        }
+        expected >= 2 && now >= latest + limit
+    }
+
     /// The node could not act as leader for a while (its lease was in doubt) and can again.
     pub fn resumed(&mut self, now: u64) {
         self.resumed_at = now;
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -256,8 +256,8 @@
     pub rostered: bool,
     /// Rented or first seen, ms (may be reckoned back by its listed age).
     pub born: u64,
-    /// First seen in the list, ms.
-    pub first_listed: Option<u64>,
+    /// Surely in the cloud's list since then, ms (may lie before the clock's start).
+    pub first_listed: Option<i64>,
     /// What is on it.
     pub held: Vec<Held>,
     /// What has ended on it.
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -74,6 +74,8 @@
     pub flavors: watch::Receiver<Option<Arc<Vec<Flavor>>>>,
     /// Questions.
     pub asks: mpsc::Receiver<Ask>,
+    /// When this node last stepped down for lack of reports, ms.
+    pub deserted_at: std::cell::Cell<Option<u64>>,
 }
 
 /// One term of leadership.
@@ -352,6 +354,14 @@
             term.paused = false;
             ledger.resumed(now);
         }
+        if ledger.deserted(now)
+            && self.deserted_at.get().is_none_or(|at| now >= at + constants::DESERTED_AGAIN_MS)
+        {
+            tracing::info!("no worker reports any more: stepping down");
+            self.deserted_at.set(Some(now));
+            self.doubt.notify_one();
+            return;
+        }
         let flavors = self.flavors.borrow().clone();
         if flavors != term.flavors_seen {
             ledger.set_flavors(flavors.as_ref().map(|f| f.to_vec()).unwrap_or_default());
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -76,6 +76,7 @@
         doubt,
         flavors,
         asks,
+        deserted_at: std::cell::Cell::new(None),
     };
     tokio::spawn(leadership.run());
     tokio::spawn(node.run());
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -297,6 +297,49 @@
     assert_eq!(near.started, [], "the task still runs on the machine that is cut off");
 }
 
+#[test]
+fn machines_gone_while_nobody_led_do_not_hold_up_older_jobs() {
+    let mut play = Play::start();
+    let (mut near, mut gone) = (small("m-1", "a"), small("m-2", "b"));
+    play.submit(job("req-000001", "array", 2));
+    play.settle(&mut [&mut near, &mut gone]);
+    let lost = gone.live()[0].clone();
+    // The cloud takes m-2 at the time of a crash. It had been up for long, so the first list that
+    // lacks it proves it gone.
+    let mut next = Play::lead(play.store.clone(), 2, 100_000);
+    near.end(&near.live()[0].clone(), Cause::Done);
+    next.settle(&mut [&mut near]);
+    assert!(!next.ledger.settled(next.now));
+    let entry = ListedHost {
+        name_id: "m-1".into(),
+        addr: None,
+        flavor: "small".into(),
+        yard: "a".into(),
+        loaners: false,
+        status: HostState::Running,
+        age_s: 100.0,
+    };
+    next.ledger.listed(&[entry], next.now, next.now);
+    next.settle(&mut [&mut near]);
+    assert_eq!(near.live(), [lost]);
+}
+
+#[test]
+fn a_leader_that_hears_no_worker_any_more_knows_it() {
+    let mut play = Play::start();
+    let (mut one, mut two) = (small("m-1", "a"), small("m-2", "a"));
+    play.settle(&mut [&mut one, &mut two]);
+    assert!(!play.ledger.deserted(play.now));
+    play.now += 3_000;
+    play.beat(&mut two);
+    assert!(!play.ledger.deserted(play.now + 4_000), "one of them still reports");
+    assert!(play.ledger.deserted(play.now + 6_500));
+    // The next leader, cut off from the start.
+    let next = Play::lead(play.store.clone(), 2, 200_000);
+    assert!(!next.ledger.deserted(203_000));
+    assert!(next.ledger.deserted(207_000));
+}
+
 #[test]
 fn late_reports_change_nothing() {
     let mut play = Play::start();
