--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -180,8 +180,9 @@
             let message = e.message().to_owned();
             match e.span() {
                 Some(span) => {
-                    let line = text[..span.start.min(text.len())].lines().count();
-                    format!("{message} (line {line})")
+                    let line = text.get(..span.start).unwrap_or(text).matches('\n').count();
+                    let shown = text.lines().nth(line).unwrap_or_default().trim();
+                    format!("{message} (line {}: {shown})", line + 1)
                 }
                 None => message,
             }
@@ -352,6 +353,8 @@
         assert!(Settings::parse(SAMPLE).is_ok());
         let broken = SAMPLE.replace("lease_s = 14.0", "");
         assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
+        let broken = SAMPLE.replace("lease_s = 14.0", "lease_s = 'soon'");
+        assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
         let broken = SAMPLE.replace("lease_s = 14.0", "lease_s = -1.0");
         assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
         let broken = SAMPLE.replace("127.0.0.1:2379", "nowhere");
