--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -68,6 +68,8 @@
 pub const BOOT_GIVE_UP_FACTOR: f64 = 4.0;
 /// Added to that, ms.
 pub const BOOT_GIVE_UP_MS: u64 = 10_000;
+/// How long what a lane needed at a time is remembered when spare machines are kept for it, ms.
+pub const SPARE_WINDOW_MS: u64 = 120_000;
 /// A machine is returned once it has been idle for this many times what a new one takes to boot and
 /// to fetch an image. 1 is the break-even of the cost; above it, late work is spared.
 pub const IDLE_RETURN_FACTOR: f64 = 1.0;
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -141,9 +141,33 @@
         self.setup.operator.idle_return_ms.unwrap_or(again)
     }
 
+    /// Notes how many machines each lane needs at this moment.
+    fn note_needs(&mut self, now: u64) {
+        for (name, lane) in &mut self.lanes {
+            let tasks: u32 = self
+                .jobs
+                .values()
+                .filter(|j| j.live() && j.spec.lane == *name)
+                .map(super::Job::unfinished)
+                .sum();
+            let per_host = self
+                .flavors
+                .iter()
+                .map(|f| Room::of_flavor(f).count(&lane.need))
+                .max()
+                .unwrap_or(0)
+                .max(1);
+            lane.needed.push_back((now, tasks.div_ceil(per_host) as usize));
+            let window = constants::SPARE_WINDOW_MS;
+            while lane.needed.front().is_some_and(|(t, _)| now > t + window) {
+                lane.needed.pop_front();
+            }
+        }
+    }
+
     /// Machines that stay although idle: for each lane that must start sooner than a new machine
-    /// boots and fetches its image, one that could take a task of it and has none of it yet;
-    /// the one that holds most of the lane's images, then the cheapest.
+    /// boots and fetches its image, as many as it needed at a time of late; those that hold most of
+    /// the lane's images, then the cheapest.
     fn spares(&self, now: u64) -> HashSet<String> {
         let mut spares = HashSet::new();
         for objective in self.setup.params.objectives.iter().filter(|o| o.kind == "wait") {
@@ -151,7 +175,8 @@
                 continue;
             };
             let Some(seen) = self.lanes.get(lane) else { continue };
-            let mut best: Option<((usize, f64), &String)> = None;
+            let mut free: Vec<(usize, f64, &String)> = Vec::new();
+            let mut busy_hosts = 0;
             for (name, host) in &self.hosts {
                 let Some(flavor) = self.flavors.iter().find(|f| f.label == host.flavor) else {
                     continue;
@@ -165,6 +190,7 @@
                 let busy = host.held.iter().any(|h| {
                     h.job.and_then(|k| self.jobs.get(&k)).is_some_and(|j| j.spec.lane == *lane)
                 });
+                busy_hosts += usize::from(busy);
                 if quick
                     || busy
                     || !host.heard
@@ -182,14 +208,13 @@
                 } else {
                     flavor.hourly
                 };
-                let merit = (images, -price);
-                if best.is_none_or(|(b, _)| merit.partial_cmp(&b).is_some_and(|o| o.is_gt())) {
-                    best = Some((merit, name));
-                }
-            }
-            if let Some((_, name)) = best {
-                spares.insert(name.clone());
+                free.push((images, price, name));
             }
+            // As many as the lane needed at a time of late, and one in any case.
+            let peak = seen.needed.iter().map(|(_, n)| *n).max().unwrap_or(0);
+            let keep = peak.saturating_sub(busy_hosts).max(1);
+            free.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)));
+            spares.extend(free.into_iter().take(keep).map(|(_, _, name)| name.clone()));
         }
         spares
     }
@@ -208,6 +233,7 @@
             && self.unheard.len() * 2 < self.hosts.len()
             && now >= self.won_at.max(self.resumed_at) + constants::UNHEARD_RETURN_MS
             && now + constants::UNHEARD_WORTH_MS < self.unheard_until;
+        self.note_needs(now);
         let spares = self.spares(now);
         for (name, host) in &mut self.hosts {
             let needed = names.iter().position(|n| n == name).is_some_and(|i| needed[i]);
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -19,7 +19,7 @@
 use commit::Writer;
 use hookway_constants as constants;
 use hookway_wire::{Flavor, Guard, JobId, JobState, JobStatus, KeyValue};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// What does not change while a node leads.
 #[derive(Debug, Clone)]
@@ -151,6 +151,8 @@
     image_gb: f64,
     /// Its images.
     images: HashSet<u32>,
+    /// Machines that it needed at a time, with the time.
+    needed: VecDeque<(u64, usize)>,
     /// Whether its jobs may use spot machines.
     loaners: bool,
 }
@@ -300,6 +302,7 @@
             need,
             image_gb: 0.0,
             images: HashSet::new(),
+            needed: VecDeque::new(),
             loaners: true,
         });
         lane.need.cpus = lane.need.cpus.max(need.cpus);
