--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -340,7 +340,6 @@
     pub(super) fn clear_host(&mut self, name: &str, now: u64, why: Leave) {
         self.count_running(name, false);
         let Some(host) = self.hosts.get_mut(name) else { return };
-        host.images.clear();
         host.ended.clear();
         let held = std::mem::take(&mut host.held);
         for h in held {
@@ -494,6 +493,9 @@
                 host.touch_image(image, gb, cache);
             }
         }
+        if host.image_set() != host.written_images {
+            self.writer.want_images(name);
+        }
     }
 
     /// Adds the running tasks of a machine to their jobs' counts for display, or takes them off.
--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -1,13 +1,13 @@
 use super::{Ledger, Slot};
 use crate::config::Params;
 use crate::records::{
-    FinalRecord, MinimumRecord, ProgressRecord, final_key, job_key, minimum_key, progress_key,
-    roster_key,
+    FinalRecord, ImagesRecord, MinimumRecord, ProgressRecord, final_key, images_key, job_key,
+    minimum_key, progress_key, roster_key,
 };
 use hookway_constants as constants;
 use hookway_policy::needs_rewrite;
 use hookway_wire::{Change, Guard, JobId, JobState, KeyValue, Transaction};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 
 /// Bytes of values that one transaction may hold; the limit is 64 KiB in all.
 const TRANSACTION_BYTES: usize = 48 * 1024;
@@ -43,6 +43,7 @@
     roster_wanted: HashSet<String>,
     trash: VecDeque<String>,
     minimums: BTreeMap<u64, MinimumRecord>,
+    images: BTreeSet<String>,
     bucket: Bucket,
     minimum_bucket: Bucket,
     busy: bool,
@@ -61,6 +62,7 @@
             roster_wanted: HashSet::new(),
             trash: VecDeque::new(),
             minimums: BTreeMap::new(),
+            images: BTreeSet::new(),
             bucket: Bucket::new(rate * constants::LEADER_WRITE_SHARE, now),
             minimum_bucket: Bucket::new(rate * constants::MINIMUM_WRITE_SHARE, now),
             busy: false,
@@ -88,6 +90,12 @@
         self.roster.retain(|h| h != host);
         self.roster_wanted.remove(host);
         self.trash.push_back(roster_key(host));
+        self.images.remove(host);
+        self.trash.push_back(images_key(host));
+    }
+
+    pub fn want_images(&mut self, host: &str) {
+        self.images.insert(host.to_owned());
     }
 }
 
@@ -98,6 +106,7 @@
     Roster(String),
     Trash(String),
     Minimum(u64, MinimumRecord),
+    Images(String, Vec<u32>),
 }
 
 /// A transaction with what it stands for.
@@ -233,6 +242,17 @@
             commit.transaction.apply.push(Change::put(minimum_key(&job.id), value));
             commit.items.push(Item::Minimum(key, record));
         }
+        while commit.transaction.apply.len() < most && self.writer.minimum_bucket.fill(now) >= 1.0 {
+            let Some(name) = self.writer.images.pop_first() else { break };
+            let Some(host) = self.hosts.get(&name).filter(|h| h.rostered) else { continue };
+            let named =
+                |(i, gb): &(u32, f64)| Some((self.image_names.get(*i as usize)?.clone(), *gb));
+            let record = ImagesRecord { images: host.images.iter().filter_map(named).collect() };
+            let Ok(value) = serde_json::to_value(&record) else { continue };
+            self.writer.minimum_bucket.units -= 1.0;
+            commit.transaction.apply.push(Change::put(images_key(&name), value));
+            commit.items.push(Item::Images(name, host.image_set()));
+        }
     }
 
     /// A job's minimum is now this: kept for the next leader if it changed by a quarter.
@@ -308,6 +328,10 @@
                     }
                 }
             }
+            Item::Images(name, set) => match self.hosts.get_mut(&name) {
+                Some(host) => host.written_images = set,
+                None => self.writer.trash.push_back(images_key(&name)),
+            },
             Item::Trash(_) => {}
         }
     }
@@ -327,7 +351,7 @@
                 }
             }
             Item::Trash(key) => self.writer.trash.push_back(key),
-            Item::Minimum(..) => {}
+            Item::Minimum(..) | Item::Images(..) => {}
         }
     }
 
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::blocks::Blocks;
 use crate::config::{OperatorSettings, Params};
-use crate::records::{FinalRecord, JobRecord, MinimumRecord, ProgressRecord};
+use crate::records::{FinalRecord, ImagesRecord, JobRecord, MinimumRecord, ProgressRecord};
 use commit::Writer;
 use hookway_constants as constants;
 use hookway_wire::{Flavor, Guard, JobId, JobState, JobStatus, KeyValue};
@@ -43,6 +43,8 @@
     pub minimums: Vec<KeyValue>,
     /// `r/`.
     pub roster: Vec<KeyValue>,
+    /// `i/`.
+    pub images: Vec<KeyValue>,
 }
 
 /// Two readings of the same moment: the steady clock and the time of day, both in ms.
@@ -113,6 +115,7 @@
     next_job: u64,
     flavors: Vec<Flavor>,
     images: HashMap<String, u32>,
+    image_names: Vec<String>,
     jobs: BTreeMap<u64, Job>,
     by_id: HashMap<JobId, u64>,
     /// Jobs that ended in this term: a late event must not bring them back.
@@ -177,6 +180,7 @@
             next_job: 0,
             flavors,
             images: HashMap::new(),
+            image_names: Vec::new(),
             jobs: BTreeMap::new(),
             by_id: HashMap::new(),
             ended: HashSet::new(),
@@ -248,6 +252,20 @@
             self.hosts.insert(name.to_owned(), host);
             self.unheard.insert(name.to_owned());
         }
+        for kv in loaded.images {
+            let name = kv.key.strip_prefix(crate::records::IMAGES).unwrap_or_default();
+            let record = serde_json::from_value::<ImagesRecord>(kv.v);
+            let (true, Ok(record)) = (self.hosts.contains_key(name), record) else {
+                self.writer.trash(kv.key);
+                continue;
+            };
+            let images: Vec<(u32, f64)> =
+                record.images.iter().map(|(bundle, gb)| (self.image(bundle), *gb)).collect();
+            if let Some(host) = self.hosts.get_mut(name) {
+                host.images = images;
+                host.written_images = host.image_set();
+            }
+        }
     }
 
     /// The term, which is the token as well.
@@ -331,7 +349,11 @@
 
     fn image(&mut self, bundle: &str) -> u32 {
         let next = self.images.len() as u32;
-        *self.images.entry(bundle.to_owned()).or_insert(next)
+        let found = *self.images.entry(bundle.to_owned()).or_insert(next);
+        if found == next {
+            self.image_names.push(bundle.to_owned());
+        }
+        found
     }
 
     /// What the leader can say of a job.
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -276,6 +276,8 @@
     pub idle_since: Option<u64>,
     /// Images on it, least recently used first, with size.
     pub images: Vec<(u32, f64)>,
+    /// Images that the store says it holds.
+    pub written_images: Vec<u32>,
     /// Kept for a job until, ms.
     pub kept: Option<(u64, u64)>,
 }
@@ -304,10 +306,18 @@
             closing: None,
             idle_since: None,
             images: Vec::new(),
+            written_images: Vec::new(),
             kept: None,
         }
     }
 
+    /// The images on it, in no order of use.
+    pub fn image_set(&self) -> Vec<u32> {
+        let mut set: Vec<u32> = self.images.iter().map(|(i, _)| *i).collect();
+        set.sort_unstable();
+        set
+    }
+
     /// An image was used on it; older ones give way beyond `cache_gb`.
     pub fn touch_image(&mut self, image: u32, gb: f64, cache_gb: f64) {
         self.images.retain(|(i, _)| *i != image);
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -5,7 +5,7 @@
 use crate::ledger::{
     Commit, CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal,
 };
-use crate::records::{JOBS, MINIMUMS, PROGRESS, ROSTER};
+use crate::records::{IMAGES, JOBS, MINIMUMS, PROGRESS, ROSTER};
 use hookway_clients::{
     CloudClient, CloudError, CommitOutcome, RentOutcome, StoreClient, StoreError, WorkerClient,
 };
@@ -450,7 +450,8 @@
     let (progress, _) = store.list(PROGRESS).await?;
     let (minimums, _) = store.list(MINIMUMS).await?;
     let (roster, _) = store.list(ROSTER).await?;
-    Ok((Loaded { jobs, progress, minimums, roster }, epoch))
+    let (images, _) = store.list(IMAGES).await?;
+    Ok((Loaded { jobs, progress, minimums, roster, images }, epoch))
 }
 
 /// Commits; if the outcome is anything but plain, reads the keys again, since a lost answer says
--- a/crates/controller/src/records.rs
+++ b/crates/controller/src/records.rs
@@ -9,12 +9,15 @@
 //! | `p/<job>/<chunk>` | which tasks of a job are done, as bits |
 //! | `m/<job>` | the job's minimum and mean task time (a hint for the next leader) |
 //! | `r/<machine>` | a machine that may have tasks |
+//! | `i/<machine>` | images that it holds (a hint for the next leader) |
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use hookway_wire::{JobId, JobSpec, JobState, JobStatus};
 use serde::{Deserialize, Serialize};
 
+/// Prefix of image records.
+pub const IMAGES: &str = "i/";
 /// Who leads.
 pub const LEAD_NOW: &str = "lead/now";
 /// The highest term.
@@ -81,6 +84,13 @@
     }
 }
 
+/// Value of `i/<machine>`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ImagesRecord {
+    /// Name and size in GB, least recently used first.
+    pub images: Vec<(String, f64)>,
+}
+
 /// Value of `m/<job>`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct MinimumRecord {
@@ -138,6 +148,11 @@
     format!("{MINIMUMS}{id}")
 }
 
+/// `i/<machine>`.
+pub fn images_key(host: &str) -> String {
+    format!("{IMAGES}{host}")
+}
+
 /// `r/<machine>`.
 pub fn roster_key(host: &str) -> String {
     format!("{ROSTER}{host}")
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -97,6 +97,7 @@
             progress: store.list("p/"),
             minimums: store.list("m/"),
             roster: store.list("r/"),
+            images: store.list("i/"),
         };
         let guard = Guard { key: LEAD_NOW.into(), stamp };
         let at = Moment { now, wall: 1_000_000 + now };
@@ -340,6 +341,21 @@
     assert!(next.ledger.deserted(207_000));
 }
 
+#[test]
+fn a_new_leader_knows_which_machine_holds_an_image() {
+    let mut play = Play::start();
+    let (mut cold, mut warm) = (small("m-1", "a"), small("m-2", "a"));
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut warm]);
+    warm.end("req-000001/0", Cause::Done);
+    play.settle(&mut [&mut cold, &mut warm]);
+    let mut next = Play::lead(play.store.clone(), 2, 9_000);
+    next.settle(&mut [&mut cold, &mut warm]);
+    next.submit(job("req-000002", "array", 1));
+    next.settle(&mut [&mut cold, &mut warm]);
+    assert_eq!((cold.started.len(), warm.live().len()), (0, 1));
+}
+
 #[test]
 fn late_reports_change_nothing() {
     let mut play = Play::start();
