--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -109,6 +109,15 @@
 pub const NO_ROOM_PAUSE_MS: u64 = 3_000;
 /// Errors of distinct jobs in a row after which a machine counts as faulty.
 pub const FAULTY_AFTER_ERRORS: u32 = 2;
+/// Finished tasks of a job whose mean time tells whether a machine is slow.
+pub const SOLID_MEAN_TASKS: u32 = 4;
+/// A task that took this many times the mean of its job was slow. Tasks of one job differ by half.
+pub const SLOW_TASK_RATIO: f64 = 2.5;
+/// After this many slow tasks in a row a machine counts as faulty.
+pub const SLOW_TASKS: u32 = 2;
+/// A task that has run this many times the mean of its job is given up where it is and run
+/// elsewhere: what is left of it there is thought to take longer than all of it on another machine.
+pub const STUCK_TASK_RATIO: f64 = 5.0;
 /// First pause after a job's task ended with an error, ms; doubled for each further one.
 pub const ERROR_PAUSE_MS: u64 = 1_000;
 /// Longest such pause, ms.
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -264,10 +264,20 @@
 
     fn ended_with(&mut self, name: &str, key: u64, held: &Held, cause: Cause, now: u64) {
         if cause == Cause::Done {
-            self.complete(key, held.index, held.running_since.map(|s| now.saturating_sub(s)));
+            let took = held.running_since.map(|s| now.saturating_sub(s));
+            let mean = self.jobs.get(&key).and_then(Job::solid_mean);
+            self.complete(key, held.index, took);
             if let Some(host) = self.hosts.get_mut(name) {
                 host.errors = 0;
                 host.last_error = None;
+                if let (Some(took), Some(mean)) = (took, mean) {
+                    let slow = took as f64 > mean * constants::SLOW_TASK_RATIO;
+                    host.slow = if slow { host.slow + 1 } else { 0 };
+                    if host.slow >= constants::SLOW_TASKS && host.closing.is_none() {
+                        tracing::info!("machine {name}: slow, to be returned");
+                        host.closing = Some("slow");
+                    }
+                }
             }
             return;
         }
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -80,6 +80,8 @@
     pub pause_until: u64,
     /// Errors in a row.
     pub errors: u32,
+    /// Tasks that were given up once for running far longer than others.
+    pub given_up: BTreeSet<u32>,
     /// Why attempts ended.
     pub notes: VecDeque<String>,
     /// Since when it has been waiting for room, ms.
@@ -130,6 +132,7 @@
             over: None,
             pause_until: 0,
             errors: 0,
+            given_up: BTreeSet::new(),
             notes: VecDeque::new(),
             waiting_since: at.now,
             written_minimum: None,
@@ -166,6 +169,12 @@
         self.notes.push_back(text);
     }
 
+    /// Mean task time, ms, once enough tasks have finished to judge a machine by it.
+    pub fn solid_mean(&self) -> Option<f64> {
+        (self.timed >= constants::SOLID_MEAN_TASKS)
+            .then(|| self.sum_ms as f64 / f64::from(self.timed))
+    }
+
     /// Whether tasks of it may be started at all.
     pub fn live(&self) -> bool {
         self.ending.is_none() && self.over.is_none()
@@ -268,6 +277,8 @@
     pub pause_until: u64,
     /// Errors of different jobs in a row.
     pub errors: u32,
+    /// Tasks in a row that took far longer here than others of their job.
+    pub slow: u32,
     /// The job of the last error.
     pub last_error: Option<u64>,
     /// To be emptied and returned, for this reason.
@@ -302,6 +313,7 @@
             notice: None,
             pause_until: 0,
             errors: 0,
+            slow: 0,
             last_error: None,
             closing: None,
             idle_since: None,
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -204,6 +204,7 @@
         self.renew_blocks(now);
         self.mend_gangs(now);
         self.clear_noticed(now);
+        self.give_up_stuck(now);
         if self.jobs.is_empty() || self.flavors.is_empty() {
             return;
         }
@@ -291,6 +292,42 @@
         }
     }
 
+    /// Tasks that run many times longer than others of their job are on a faulty machine, most
+    /// likely: it takes nothing new, and they run elsewhere.
+    fn give_up_stuck(&mut self, now: u64) {
+        let mut stuck = Vec::new();
+        for (name, host) in &self.hosts {
+            for (i, held) in host.held.iter().enumerate() {
+                let (Some(since), None) = (held.running_since, held.kill) else { continue };
+                let job = held.job.and_then(|k| self.jobs.get(&k));
+                let Some(job) = job.filter(|j| !j.spec.is_gang()) else { continue };
+                // Once only: a task that is long wherever it runs must come to its end.
+                if job.given_up.contains(&held.index) {
+                    continue;
+                }
+                let ran = now.saturating_sub(since) as f64;
+                if job.solid_mean().is_some_and(|m| ran > m * constants::STUCK_TASK_RATIO) {
+                    stuck.push((name.clone(), i));
+                }
+            }
+        }
+        for (name, i) in stuck {
+            let Some(host) = self.hosts.get_mut(&name) else { continue };
+            tracing::info!("machine {name}: {} is stuck there", host.held[i].piece);
+            if host.closing.is_none() {
+                host.closing = Some("slow");
+            }
+            let (key, index) = (host.held[i].job, host.held[i].index);
+            if let Some(job) = key.and_then(|k| self.jobs.get_mut(&k)) {
+                job.given_up.insert(index);
+                job.note(format!(
+                    "task {index} ran far longer than others on {name}, tried elsewhere"
+                ));
+            }
+            self.stop(&name, i, now);
+        }
+    }
+
     fn plan(&mut self, key: u64, hosts: &[String], now: u64) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let gang = job.spec.is_gang();
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -356,6 +356,38 @@
     assert_eq!((cold.started.len(), warm.live().len()), (0, 1));
 }
 
+#[test]
+fn a_task_stuck_on_a_slow_machine_runs_elsewhere() {
+    let mut play = Play::start();
+    let (mut good, mut slow) = (small("m-1", "a"), small("m-2", "a"));
+    play.submit(job("req-000001", "array", 7));
+    play.settle(&mut [&mut good, &mut slow]);
+    let stuck = slow.live()[0].clone();
+    for _ in 0..40 {
+        play.settle(&mut [&mut good, &mut slow]);
+        if let Some(task) = good.live().first().cloned() {
+            good.end(&task, Cause::Done);
+        }
+    }
+    assert!(good.started.iter().any(|(t, _)| *t == stuck), "after five times the mean");
+    assert_eq!(slow.live().len(), 0);
+    assert_eq!(slow.started.len(), 1, "the machine takes nothing more");
+    // A task that is long everywhere is moved once, not for ever.
+    let mut play = Play::start();
+    let (mut one, mut two) = (small("m-1", "a"), small("m-2", "a"));
+    play.submit(job("req-000001", "array", 7));
+    for _ in 0..80 {
+        play.settle(&mut [&mut one, &mut two]);
+        for worker in [&mut one, &mut two] {
+            if let Some(task) = worker.live().first().filter(|t| !t.ends_with("/0")).cloned() {
+                worker.end(&task, Cause::Done);
+            }
+        }
+    }
+    let long = |w: &ScriptedWorker| w.started.iter().filter(|(t, _)| t.ends_with("/0")).count();
+    assert_eq!(long(&one) + long(&two), 2);
+}
+
 #[test]
 fn late_reports_change_nothing() {
     let mut play = Play::start();
