The roster's times count from each machine's own entry

Found by reading: every entry carried the time when the leader had won. A new leader could then take a young machine, which lagging lists lack, for gone, and start its tasks elsewhere. The test fails without the mend.

--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -160,7 +160,7 @@
             items: vec![],
         };
         self.add_finals(&mut commit, most);
-        self.add_roster(&mut commit, most);
+        self.add_roster(&mut commit, most, now);
         self.add_chunks(&mut commit, most);
         while commit.transaction.apply.len() < most
             && let Some(key) = self.writer.trash.pop_front()
@@ -199,11 +199,14 @@
         }
     }
 
-    fn add_roster(&mut self, commit: &mut Commit, most: usize) {
+    fn add_roster(&mut self, commit: &mut Commit, most: usize, now: u64) {
+        // A new leader reckons from this time since when a machine must be listed: it must not lie
+        // before the machine was known.
+        let at_ms = self.wall_at(now);
         while commit.transaction.apply.len() < most
             && let Some(host) = self.writer.roster.pop_front()
         {
-            let value = serde_json::json!({ "term": self.term, "at_ms": self.wall });
+            let value = serde_json::json!({ "term": self.term, "at_ms": at_ms });
             commit.transaction.apply.push(Change::put(roster_key(&host), value));
             commit.items.push(Item::Roster(host));
         }
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -280,11 +280,12 @@
             }
             let empty = host.held.is_empty() && host.ended.is_empty();
             let taken = host.notice.is_some() && host.heard;
-            if (host.closing.is_some() || taken) && empty {
-                tracing::info!(
-                    "machine {name}: returning it ({})",
-                    host.closing.unwrap_or("the cloud wants it back")
-                );
+            if taken && empty && host.closing.is_none() {
+                host.closing = Some("the cloud wants it back");
+            }
+            if host.closing.is_some() && empty {
+                let why = host.closing.unwrap_or_default();
+                tracing::info!("machine {name}: returning it ({why})");
                 doomed.push(name.clone());
             }
         }
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -137,10 +137,10 @@
     deleting: HashSet<String>,
     fleet_after: u64,
     last_round: u64,
-    /// Time of day when it was last known, ms: goes into records, decides nothing of safety alone.
-    wall: u64,
     /// When this leader won, ms.
     won_at: u64,
+    /// The time of day then, ms.
+    won_wall: u64,
     /// What was seen of each lane.
     lanes: HashMap<String, Lane>,
 }
@@ -197,8 +197,8 @@
             deleting: HashSet::new(),
             fleet_after: 0,
             last_round: 0,
-            wall: at.wall,
             won_at: at.now,
+            won_wall: at.wall,
             lanes: HashMap::new(),
         };
         ledger.load(loaded, at);
@@ -401,6 +401,11 @@
         std::mem::take(&mut self.decided)
     }
 
+    /// The time of day at `now`, ms, reckoned on the steady clock from when this leader won.
+    fn wall_at(&self, now: u64) -> u64 {
+        self.won_wall + now.saturating_sub(self.won_at)
+    }
+
     /// The end of a job is durable.
     fn decide(&mut self, key: u64, record: FinalRecord) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -325,6 +325,27 @@
     assert_eq!(near.live(), [lost]);
 }
 
+#[test]
+fn a_list_that_lags_does_not_bury_a_young_machine() {
+    let mut play = Play::start();
+    // Long into the term a machine comes up and gets a task.
+    play.now = 300_000;
+    let (mut young, mut other) = (small("m-9", "a"), small("m-1", "a"));
+    play.beat(&mut other);
+    other.notice(5.0);
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut young]);
+    assert_eq!(young.live().len(), 1);
+    // The leader changes at once; the first list does not hold the machine yet.
+    let mut next = Play::lead(play.store.clone(), 2, play.now + 2_000);
+    next.ledger.listed(&[], next.now, next.now);
+    for _ in 0..4 {
+        next.beat(&mut small("m-2", "b"));
+        next.wait(500);
+    }
+    assert!(!next.ledger.settled(next.now), "its age counts from its own entry in the roster");
+}
+
 #[test]
 fn a_leader_that_hears_no_worker_any_more_knows_it() {
     let mut play = Play::start();
