--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -139,8 +139,8 @@
     last_round: u64,
     /// When this leader won, ms.
     won_at: u64,
-    /// The time of day then, ms.
-    won_wall: u64,
+    /// Both clocks, as last told.
+    told: Moment,
     /// What was seen of each lane.
     lanes: HashMap<String, Lane>,
 }
@@ -198,7 +198,7 @@
             fleet_after: 0,
             last_round: 0,
             won_at: at.now,
-            won_wall: at.wall,
+            told: at,
             lanes: HashMap::new(),
         };
         ledger.load(loaded, at);
@@ -401,9 +401,15 @@
         std::mem::take(&mut self.decided)
     }
 
-    /// The time of day at `now`, ms, reckoned on the steady clock from when this leader won.
+    /// Tells both clocks anew. The steady one drifts from the time of day, so over a long term the
+    /// first reading would not do for times that other nodes read.
+    pub fn tell_time(&mut self, at: Moment) {
+        self.told = at;
+    }
+
+    /// The time of day at `now`, ms.
     fn wall_at(&self, now: u64) -> u64 {
-        self.won_wall + now.saturating_sub(self.won_at)
+        self.told.wall + now.saturating_sub(self.told.now)
     }
 
     /// The end of a job is durable.
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -354,6 +354,7 @@
             term.paused = false;
             ledger.resumed(now);
         }
+        ledger.tell_time(self.clock.moment());
         if ledger.deserted(now)
             && self.deserted_at.get().is_none_or(|at| now >= at + constants::DESERTED_AGAIN_MS)
         {
