--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -33,7 +33,7 @@
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_idle_timeout(Duration::from_secs(10))
             .pool_max_idle_per_host(8)
             .build(connector);
         Self { base: format!("http://{address}"), client }
--- a/crates/clients/src/store.rs
+++ b/crates/clients/src/store.rs
@@ -173,7 +173,7 @@
         let _ = self.budget.take(1.0);
         let path = format!("/grants/{permit}/extend");
         let (status, body) = self
-            .call(Method::POST, &path, Some(b"{}".to_vec()), constants::STORE_TIMEOUT_MS)
+            .call(Method::POST, &path, Some(b"{}".to_vec()), constants::EXTEND_TIMEOUT_MS)
             .await?;
         match status {
             s if s.is_success() => Ok(()),
--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -22,10 +22,14 @@
 
 /// Time limit for one request to the state service, ms. Most take under 10 ms, some a few hundred.
 pub const STORE_TIMEOUT_MS: u64 = 1_200;
-/// Time a watch waits on the server, ms.
-pub const WATCH_WAIT_MS: u64 = 20_000;
+/// Time limit for extending the leadership lease, ms. A connection that died unnoticed must leave
+/// time for further tries within one lease.
+pub const EXTEND_TIMEOUT_MS: u64 = 800;
+/// Time a watch waits on the server, ms. Bounds for how long a connection that died unnoticed hides
+/// new jobs or a lost leader.
+pub const WATCH_WAIT_MS: u64 = 5_000;
 /// Added to a watch's waiting time before the client gives up, ms.
-pub const WATCH_GRACE_MS: u64 = 3_000;
+pub const WATCH_GRACE_MS: u64 = 2_000;
 /// Pause before a failed watch is opened again, ms.
 pub const WATCH_RETRY_MS: u64 = 400;
 /// Share of the store's write rate that the leader's records may use. The rest is for submissions,
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -172,6 +172,12 @@
         answer.await.ok().flatten()
     }
 
+    /// This node's term, if it leads. Read before the state service is, so that what was read can't
+    /// be older than the term that it is used in.
+    fn term(&self) -> Option<u64> {
+        self.view.borrow().mandate.as_ref().map(|m| m.term)
+    }
+
     /// Asks the leader, if it is another node and known.
     async fn ask_leader(&self, ask: &PeerAsk, limit_ms: u64) -> Option<Verdict> {
         let leader = self.view.borrow().leader.clone()?;
@@ -222,6 +228,7 @@
         if let Some(told) = self.final_state(id) {
             return Verdict::Known(told);
         }
+        let term = self.term();
         let mine = self.ask(|r| Ask::Status(id.clone(), r)).await;
         let lead = mine.is_some();
         match mine {
@@ -240,7 +247,7 @@
             Ok(Stored::Open(key, value)) => {
                 let told = self.queued(id, &value);
                 if lead {
-                    self.ask(|r| Ask::Adopt(key, value, r)).await;
+                    self.ask(|r| Ask::Adopt(term, key, value, r)).await;
                 }
                 Verdict::Known(told)
             }
@@ -256,6 +263,7 @@
             return Verdict::Known(told);
         }
         for _ in 0..2 {
+            let term = self.term();
             match self.ask(|r| Ask::Withdraw(id.clone(), r)).await {
                 Some(Withdrawal::Over(status)) => return self.known(status.into()),
                 Some(Withdrawal::Pending) => return later("the decision is not durable yet"),
@@ -263,7 +271,7 @@
                     Ok(Stored::Over(told)) => return self.known(told),
                     Ok(Stored::Nothing) => return Verdict::Absent,
                     Ok(Stored::Open(key, value)) => {
-                        self.ask(|r| Ask::Adopt(key, value, r)).await;
+                        self.ask(|r| Ask::Adopt(term, key, value, r)).await;
                     }
                     Err(e) => return Verdict::Later(e.to_string()),
                 },
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -26,8 +26,9 @@
     Status(JobId, oneshot::Sender<Option<Lookup>>),
     /// Withdraw a job; answered once the decision is durable.
     Withdraw(JobId, oneshot::Sender<Option<Withdrawal>>),
-    /// A job's record was found in the state service.
-    Adopt(String, serde_json::Value, oneshot::Sender<Option<()>>),
+    /// A job's record was found in the state service, in this term. A record that was read in an
+    /// earlier term may be of a job that ended since.
+    Adopt(Option<u64>, String, serde_json::Value, oneshot::Sender<Option<()>>),
 }
 
 /// The answer to a report.
@@ -122,7 +123,7 @@
             }
             Ask::Status(_, reply) => drop(reply.send(None)),
             Ask::Withdraw(_, reply) => drop(reply.send(None)),
-            Ask::Adopt(_, _, reply) => drop(reply.send(None)),
+            Ask::Adopt(_, _, _, reply) => drop(reply.send(None)),
         }
     }
 
@@ -251,9 +252,11 @@
                 }
                 answer => drop(reply.send(Some(answer))),
             },
-            Ask::Adopt(key, value, reply) => {
+            Ask::Adopt(read_in, key, value, reply) => {
                 let at = Moment { now, wall: crate::lead::wall_ms() };
-                ledger.job_seen(&key, value, at, false);
+                if read_in == Some(term.mandate.term) {
+                    ledger.job_seen(&key, value, at, false);
+                }
                 let _ = reply.send(Some(()));
             }
         }
--- a/crates/controller/tests/api.rs
+++ b/crates/controller/tests/api.rs
@@ -95,7 +95,7 @@
                     let answer = Withdrawal::Over(known(&id, JobState::Withdrawn));
                     let _ = reply.send(leads.then_some(answer));
                 }
-                Ask::Adopt(_, _, reply) => drop(reply.send(Some(()))),
+                Ask::Adopt(_, _, _, reply) => drop(reply.send(Some(()))),
             }
         }
     });
