--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -125,7 +125,9 @@
         .filter(|h| usable(job_ix, job, h))
         .map(|h| fetch_time(world, job, h))
         .fold(f64::INFINITY, f64::min);
-    if gang && fetch.is_finite() && fetch > 0.0 && worth_evicting(world, job_ix) {
+    // Once machines are being cleared for it, it takes what it can get.
+    let clearing = world.hosts.iter().any(|h| h.kept_for == Some(job_ix));
+    if gang && !clearing && fetch.is_finite() && fetch > 0.0 && worth_evicting(world, job_ix) {
         return Vec::new();
     }
     // A job that has to be in one zone: the one where most of it finds room, unless it is in one.
@@ -169,17 +171,19 @@
             continue;
         }
         // A gang needs all at once, so arrays that take each bit that comes free would keep it
-        // waiting for ever. What the first such gang of a team needs of the limit is
-        // set aside at once;
+        // waiting for ever. What the first such gang of a team needs of the limit is set aside at
+        // once, whatever it is waiting for: else what was stopped for it would start anew;
         let whole = job.need.times(job.startable);
         let team_ix = job.team;
-        if let Some(team) = world.teams.get_mut(team_ix)
-            && team.allows(&whole) == 0
-            && reserved.iter().all(|(t, _)| *t != team_ix)
+        if reserved.iter().all(|(t, _)| *t != team_ix)
+            && let Some(team) = world.teams.get_mut(team_ix)
         {
+            let short = team.allows(&whole) == 0;
             team.used.give(&whole);
             reserved.push((team_ix, whole));
-            continue;
+            if short {
+                continue;
+            }
         }
         // and machines, one gang at a time, once it has waited a while.
         let waited = world.now - world.jobs[turn.job].waiting_since;
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -89,8 +89,11 @@
         .filter(|i| {
             let job = &world.jobs[*i];
             let short = if job.gang { job.startable == job.pieces } else { job.unseen() };
+            // One batch of stops at a time: machines that are being cleared for it stay kept.
+            let clearing = world.hosts.iter().any(|h| h.kept_for == Some(*i));
             job.startable > 0
                 && short
+                && !clearing
                 && world.now - job.waiting_since >= constants::PREEMPT_AFTER_MS as f64 / 1000.0
         })
         .collect();
@@ -236,6 +239,16 @@
         assert_eq!(evict(&w), [], "equal rank is left alone");
     }
 
+    #[test]
+    fn nothing_more_is_stopped_while_machines_are_being_cleared() {
+        let gang = JobView { gang: true, rank: Rank::High, ..job(3.0, 1) };
+        let mut w = world(vec![gang, job(1.0, 8)], vec![full(1, 30.0), full(1, 3.0)]);
+        w.now = 10.0;
+        assert_eq!(evict(&w).len(), 1);
+        w.hosts[1].kept_for = Some(0);
+        assert_eq!(evict(&w), []);
+    }
+
     #[test]
     fn a_guarantee_takes_back_what_others_borrow() {
         let mine = JobView { team: 1, ..job(1.0, 1) };
