--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -62,15 +62,15 @@
     best.map(|(_, i)| i)
 }
 
+/// Puts a task of the job on a machine.
 fn put(world: &mut World, job_ix: usize, host: usize) {
     let need = world.jobs[job_ix].need;
-    let team = world.jobs[job_ix].team;
     let yard = world.hosts[host].yard;
     world.hosts[host].free.take(&need);
-    if let Some(team) = world.teams.get_mut(team) {
+    let job = &mut world.jobs[job_ix];
+    if let Some(team) = world.teams.get_mut(job.team) {
         team.used.give(&need);
     }
-    let job = &mut world.jobs[job_ix];
     job.running += 1;
     job.startable -= 1;
     if let Some(n) = job.per_zone.get_mut(yard) {
@@ -78,22 +78,6 @@
     }
 }
 
-fn undo(world: &mut World, job_ix: usize, host: usize) {
-    let need = world.jobs[job_ix].need;
-    let team = world.jobs[job_ix].team;
-    let yard = world.hosts[host].yard;
-    world.hosts[host].free.give(&need);
-    if let Some(team) = world.teams.get_mut(team) {
-        team.used.take(&need);
-    }
-    let job = &mut world.jobs[job_ix];
-    job.running -= 1;
-    job.startable += 1;
-    if let Some(n) = job.per_zone.get_mut(yard) {
-        *n -= 1;
-    }
-}
-
 fn zones(world: &World) -> usize {
     world.hosts.iter().map(|h| h.yard + 1).max().unwrap_or(0)
 }
@@ -140,16 +124,22 @@
     } else {
         None
     };
+    // What has to be put back if a gang finds room for part of it only.
+    let before = gang.then(|| (world.jobs[job_ix].clone(), world.teams.clone()));
     let mut hosts = Vec::new();
     while (hosts.len() as u32) < allowed {
         let Some(host) = best_host(world, job_ix, zone) else { break };
         put(world, job_ix, host);
         hosts.push(host);
     }
-    if gang && (hosts.len() as u32) < tasks {
+    if let Some((job, teams)) = before
+        && (hosts.len() as u32) < tasks
+    {
         for host in hosts.drain(..) {
-            undo(world, job_ix, host);
+            world.hosts[host].free.give(&job.need);
         }
+        world.jobs[job_ix] = job;
+        world.teams = teams;
     }
     hosts
 }
