--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -176,6 +176,9 @@
 pub const IN_PROGRESS_TARGET_MS: u64 = 400;
 /// Jobs whose final state a node keeps in memory.
 pub const FINAL_CACHE: usize = 4_096;
+/// Ended jobs and returned machines that a leader remembers, so that late events and reports don't
+/// bring them back. Days of work, against messages that are minutes late.
+pub const RECENT_KEPT: usize = 20_000;
 /// Messages that may wait for an actor.
 pub const MAILBOX: usize = 1_024;
 /// Plain-words reasons that a job keeps.
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -11,7 +11,7 @@
 
 pub use commit::{Commit, CommitResult, Learned};
 pub use fleet::FleetAction;
-pub use model::{Ended, Held, Host, Job, Kill, Phase, Slot};
+pub use model::{Ended, Held, Host, Job, Kill, Phase, Recent, Slot};
 
 use crate::blocks::Blocks;
 use crate::config::{OperatorSettings, Params};
@@ -119,10 +119,10 @@
     jobs: BTreeMap<u64, Job>,
     by_id: HashMap<JobId, u64>,
     /// Jobs that ended in this term: a late event must not bring them back.
-    ended: HashSet<JobId>,
+    ended: Recent<JobId>,
     hosts: BTreeMap<String, Host>,
     /// Machines that this leader knows to be gone: late reports must not bring them back.
-    buried: HashSet<String>,
+    buried: Recent<String>,
     blocks: Blocks,
     /// Machines of the roster that have not reported to this leader yet.
     unheard: HashSet<String>,
@@ -183,9 +183,9 @@
             image_names: Vec::new(),
             jobs: BTreeMap::new(),
             by_id: HashMap::new(),
-            ended: HashSet::new(),
+            ended: Recent::new(constants::RECENT_KEPT),
             hosts: BTreeMap::new(),
-            buried: HashSet::new(),
+            buried: Recent::new(constants::RECENT_KEPT),
             blocks: Blocks::default(),
             unheard: HashSet::new(),
             unheard_until: at.now + lease_ms,
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -3,7 +3,44 @@
 use hookway_constants as constants;
 use hookway_policy::Room;
 use hookway_wire::{Cause, JobId, JobSpec, JobState, PieceState};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeSet, HashSet, VecDeque};
+
+/// The newest so many members of a set; older ones are forgotten, so that memory stays bounded over
+/// a long term.
+#[derive(Debug)]
+pub struct Recent<T> {
+    members: HashSet<T>,
+    order: VecDeque<T>,
+    most: usize,
+}
+
+impl<T: Clone + Eq + std::hash::Hash> Recent<T> {
+    /// An empty set that keeps `most` members.
+    pub fn new(most: usize) -> Self {
+        Self { members: HashSet::new(), order: VecDeque::new(), most }
+    }
+
+    /// Adds a member.
+    pub fn insert(&mut self, member: T) {
+        if self.members.insert(member.clone()) {
+            self.order.push_back(member);
+            if self.order.len() > self.most
+                && let Some(old) = self.order.pop_front()
+            {
+                self.members.remove(&old);
+            }
+        }
+    }
+
+    /// Whether it is a member still.
+    pub fn contains<Q>(&self, member: &Q) -> bool
+    where
+        T: std::borrow::Borrow<Q>,
+        Q: Eq + std::hash::Hash + ?Sized,
+    {
+        self.members.contains(member)
+    }
+}
 
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -340,3 +377,17 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_recent_set_forgets_its_oldest_members_only() {
+        let mut recent = Recent::new(2);
+        for n in [1, 2, 2, 3] {
+            recent.insert(n);
+        }
+        assert_eq!([1, 2, 3].map(|n| recent.contains(&n)), [false, true, true]);
+    }
+}
