Tidy: one place for fetch time, price, zone index, task means and what can never run; dead code out

The API and the policy each had their own check of what can never run; now one. A scan of all machines that only gangs need no longer runs for arrays.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -43,9 +43,6 @@
 pub const NODE_REQUEST_SHARE: f64 = 0.3;
 /// Tasks in one progress record: 4 KiB of bits, which fit in any sensible value limit as base64.
 pub const PROGRESS_CHUNK_TASKS: u32 = 16_384;
-/// Pause between two rounds of the leader's writer when something is waiting, ms. Lets results of
-/// the same moment share a transaction.
-pub const FLUSH_EVERY_MS: u64 = 100;
 
 /// Time limit for one request to the cloud, ms.
 pub const CLOUD_TIMEOUT_MS: u64 = 6_000;
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -9,7 +9,7 @@
 use crate::records::{FinalRecord, JobRecord, LEAD_NOW, final_key, job_key};
 use hookway_clients::{CommitOutcome, StoreClient, StoreError};
 use hookway_constants as constants;
-use hookway_policy::Room;
+use hookway_policy::{Room, TeamView, fits_somewhere};
 use hookway_wire::{
     Change, CheckIn, ErrorBody, Flavor, Guard, JobId, JobSpec, JobState, JobStatus,
     ReportElsewhere, Transaction,
@@ -317,20 +317,16 @@
             return Some(Err(format!("unknown team {}", spec.owner)));
         };
         let need = Room::of_task(spec);
-        let fits = flavors.iter().any(|f| {
+        let allowed = |f: &Flavor| {
             spec.flavors.as_ref().is_none_or(|list| list.contains(&f.label))
                 && spec.yard.as_ref().is_none_or(|y| f.yards.contains(y))
                 && Room::of_flavor(f).fits(&need)
-        });
-        if !fits {
-            return Some(Err("a task fits no allowed machine type".into()));
-        }
-        let tasks = if spec.is_gang() { f64::from(spec.pieces) } else { 1.0 };
-        let over = |limit: f64, need: f64| limit > 0.0 && need * tasks > limit + 1e-6;
-        if over(team.cpus_max, spec.vcpus) || over(team.gpus_max, spec.gpus) {
-            return Some(Err("the job needs more than its team's limit".into()));
-        }
-        Some(Ok(()))
+        };
+        let types: Vec<bool> = flavors.iter().map(allowed).collect();
+        let least = if spec.is_gang() { spec.pieces } else { 1 };
+        let limit = (team.cpus_max, team.gpus_max);
+        let team = TeamView { limit, ..TeamView::default() };
+        Some(fits_somewhere(&types, &need, least, &team))
     }
 
     /// Takes a submission. It is accepted once it is in the state service, at whichever node.
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -144,6 +144,13 @@
     pub machine_limits: MachineLimits,
 }
 
+impl Params {
+    /// The index of a zone.
+    pub fn zone(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|z| z == name)
+    }
+}
+
 /// The platform's settings file. Fields that it does not know are ignored.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Settings {
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -1,7 +1,7 @@
 use super::{Ended, Held, Host, Job, Ledger, Phase, Slot, lease_over_ms};
 use hookway_constants as constants;
 use hookway_wire::{
-    Cause, CheckIn, CheckInAnswer, DirectOrders, JobState, Order, PieceReport, PieceState, TaskId,
+    Cause, CheckIn, CheckInAnswer, DirectOrders, Order, PieceReport, PieceState, TaskId,
 };
 
 /// Most commands in one answer, so that its only line stays far below 64 KiB.
@@ -203,7 +203,7 @@
                 job.free.remove(&task.index);
             }
             job.held += 1;
-            if let Some(zone) = self.setup.params.zones.iter().position(|z| *z == host.yard) {
+            if let Some(zone) = self.setup.params.zone(&host.yard) {
                 job.per_zone[zone] += 1;
             }
         }
@@ -222,7 +222,7 @@
         let Some(key) = held.job else { return };
         let Some(job) = self.jobs.get_mut(&key) else { return };
         job.held = job.held.saturating_sub(1);
-        if let Some(zone) = self.setup.params.zones.iter().position(|z| *z == yard) {
+        if let Some(zone) = self.setup.params.zone(&yard) {
             job.per_zone[zone] = job.per_zone[zone].saturating_sub(1);
         }
         let index = held.index;
@@ -340,10 +340,7 @@
                 self.writer.chunks.push_back((key, chunk));
             }
         }
-        if job.done == job.spec.pieces && job.ending.is_none() {
-            job.ending = Some(JobState::Done);
-            self.writer.finals.push_back(key);
-        }
+        self.finish_if_done(key);
     }
 
     /// Everything that was on a machine is gone.
@@ -401,15 +398,15 @@
                 orders.push(Order::Reap { piece: e.piece.clone(), r#try: e.attempt });
             }
         }
-        let may_start = host.rostered && host.closing.is_none() && host.notice.is_none();
-        let waits_for_roster = !host.rostered && host.closing.is_none() && host.notice.is_none();
+        let stays = host.closing.is_none() && host.notice.is_none();
+        let may_start = stays && host.rostered;
         let mut held = host.held.clone();
         let mut dropped = Vec::new();
         for h in &mut held {
             let stray_elsewhere =
                 h.job.and_then(|k| self.jobs.get(&k)).is_some_and(|j| j.strays.contains(&h.index));
             match (h.phase, self.must_stop(h, now)) {
-                (Phase::Planned, None) if stray_elsewhere || !may_start && !waits_for_roster => {
+                (Phase::Planned, None) if stray_elsewhere || !stays => {
                     dropped.push((h.piece.clone(), h.attempt));
                 }
                 (Phase::Planned, Some(_)) => dropped.push((h.piece.clone(), h.attempt)),
--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -169,6 +169,7 @@
             commit.items.push(Item::Trash(key));
         }
         self.add_minimums(&mut commit, most, now);
+        self.add_images(&mut commit, most, now);
         if commit.transaction.apply.is_empty() {
             return None;
         }
@@ -245,6 +246,9 @@
             commit.transaction.apply.push(Change::put(minimum_key(&job.id), value));
             commit.items.push(Item::Minimum(key, record));
         }
+    }
+
+    fn add_images(&mut self, commit: &mut Commit, most: usize, now: u64) {
         while commit.transaction.apply.len() < most && self.writer.minimum_bucket.fill(now) >= 1.0 {
             let Some(name) = self.writer.images.pop_first() else { break };
             let Some(host) = self.hosts.get(&name).filter(|h| h.rostered) else { continue };
@@ -288,7 +292,6 @@
                 }
             }
             CommitResult::Unsure(learned) => {
-                let mut known = HashSet::new();
                 for (key, value) in learned {
                     if key == self.writer.lead.key {
                         let stamp = value.as_ref().map_or(0, |v| v.stamp);
@@ -299,7 +302,6 @@
                         continue;
                     }
                     self.learn(&key, value);
-                    known.insert(key);
                 }
                 for item in commit.items {
                     self.again(item);
@@ -435,7 +437,8 @@
         self.finish_if_done(key);
     }
 
-    fn finish_if_done(&mut self, key: u64) {
+    /// All tasks of a job are done: its end is to be written.
+    pub(super) fn finish_if_done(&mut self, key: u64) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         if job.done == job.spec.pieces && job.ending.is_none() {
             job.ending = Some(JobState::Done);
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -29,7 +29,7 @@
         let mut offers = Vec::new();
         for (f, flavor) in self.flavors.iter().enumerate() {
             for yard in &flavor.yards {
-                let Some(yard) = self.setup.params.zones.iter().position(|z| z == yard) else {
+                let Some(yard) = self.setup.params.zone(yard) else {
                     continue;
                 };
                 for loaner in [false, true] {
@@ -82,40 +82,38 @@
             .operator
             .most_machines
             .saturating_sub(scene.world.hosts.len().max(self.hosts.len()));
-        if now >= self.fleet_after {
-            let mut left = u32::try_from(room).unwrap_or(u32::MAX);
-            for rent in plan.rent {
-                let count = rent.count.min(constants::RENT_AT_MOST).min(left);
-                if count == 0 {
-                    continue;
-                }
-                left -= count;
-                let offer = &offers[rent.offer];
-                self.next_hire += 1;
-                // Never used again, by no node: the term leads the name.
-                let hire = format!("h-{}-{}", self.term, self.next_hire);
-                let request = RentRequest {
-                    hire: hire.clone(),
-                    flavor: self.flavors[offer.flavor].label.clone(),
-                    yard: self.setup.params.zones[offer.yard].clone(),
-                    loaners: offer.loaner,
-                    how_many: count,
-                };
-                tracing::info!(
-                    "rental {hire}: {count} x {} in {}{}",
-                    request.flavor,
-                    request.yard,
-                    if offer.loaner { ", spot" } else { "" }
-                );
-                self.renting.push(Renting {
-                    hire,
-                    flavor: offer.flavor,
-                    yard: offer.yard,
-                    loaner: offer.loaner,
-                    count,
-                });
-                actions.push(FleetAction::Rent(request));
+        let mut left = u32::try_from(room).unwrap_or(u32::MAX);
+        for rent in plan.rent {
+            let count = rent.count.min(constants::RENT_AT_MOST).min(left);
+            if count == 0 {
+                continue;
             }
+            left -= count;
+            let offer = &offers[rent.offer];
+            self.next_hire += 1;
+            // Never used again, by no node: the term leads the name.
+            let hire = format!("h-{}-{}", self.term, self.next_hire);
+            let request = RentRequest {
+                hire: hire.clone(),
+                flavor: self.flavors[offer.flavor].label.clone(),
+                yard: self.setup.params.zones[offer.yard].clone(),
+                loaners: offer.loaner,
+                how_many: count,
+            };
+            tracing::info!(
+                "rental {hire}: {count} x {} in {}{}",
+                request.flavor,
+                request.yard,
+                if offer.loaner { ", spot" } else { "" }
+            );
+            self.renting.push(Renting {
+                hire,
+                flavor: offer.flavor,
+                yard: offer.yard,
+                loaner: offer.loaner,
+                count,
+            });
+            actions.push(FleetAction::Rent(request));
         }
         let mut doomed = self.doomed(now, &scene.hosts, &needed);
         doomed.truncate(constants::DELETE_AT_MOST);
@@ -135,7 +133,7 @@
         let sizes: Vec<f64> = self.jobs.values().map(|j| j.spec.image_gb).collect();
         let mean =
             if sizes.is_empty() { 0.0 } else { sizes.iter().sum::<f64>() / sizes.len() as f64 };
-        let fetch = if flavor.fetch_gb_per_s > 0.0 { mean / flavor.fetch_gb_per_s } else { 0.0 };
+        let fetch = flavor.fetch_s(mean);
         let factor = constants::IDLE_RETURN_FACTOR;
         let again = ((flavor.ready_s + fetch) * factor * 1000.0) as u64;
         self.setup.operator.idle_return_ms.unwrap_or(again)
@@ -181,12 +179,7 @@
                 let Some(flavor) = self.flavors.iter().find(|f| f.label == host.flavor) else {
                     continue;
                 };
-                let fetch = if flavor.fetch_gb_per_s > 0.0 {
-                    seen.image_gb / flavor.fetch_gb_per_s
-                } else {
-                    0.0
-                };
-                let quick = flavor.ready_s + fetch < within;
+                let quick = flavor.ready_s + flavor.fetch_s(seen.image_gb) < within;
                 let busy = host.held.iter().any(|h| {
                     h.job.and_then(|k| self.jobs.get(&k)).is_some_and(|j| j.spec.lane == *lane)
                 });
@@ -203,12 +196,7 @@
                     continue;
                 }
                 let images = host.images.iter().filter(|(i, _)| seen.images.contains(i)).count();
-                let price = if host.loaner {
-                    flavor.market_price.unwrap_or(flavor.hourly)
-                } else {
-                    flavor.hourly
-                };
-                free.push((images, price, name));
+                free.push((images, flavor.price(host.loaner), name));
             }
             // As many as the lane needed at a time of late, and one in any case.
             let peak = seen.needed.iter().map(|(_, n)| *n).max().unwrap_or(0);
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -135,7 +135,6 @@
     sold_out: HashMap<(usize, usize, bool), u64>,
     renting: Vec<fleet::Renting>,
     deleting: HashSet<String>,
-    fleet_after: u64,
     last_round: u64,
     /// When this leader won, ms.
     won_at: u64,
@@ -195,7 +194,6 @@
             sold_out: HashMap::new(),
             renting: Vec::new(),
             deleting: HashSet::new(),
-            fleet_after: 0,
             last_round: 0,
             won_at: at.now,
             told: at,
@@ -490,11 +488,6 @@
             waiting: waiting.abs(),
         }
     }
-
-    /// The guard that every durable write carries.
-    pub fn lead_guard(&self) -> &Guard {
-        &self.writer.lead
-    }
 }
 
 /// A worker's lease with drift and margin, ms: this long after the last moment when anyone entitled
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -206,10 +206,14 @@
         self.notes.push_back(text);
     }
 
-    /// Mean task time, ms, once enough tasks have finished to judge a machine by it.
+    /// Mean time of the tasks whose time is known, ms.
+    pub fn mean_ms(&self) -> Option<f64> {
+        (self.timed > 0).then(|| self.sum_ms as f64 / f64::from(self.timed))
+    }
+
+    /// The same, once enough tasks have finished to judge a machine by it.
     pub fn solid_mean(&self) -> Option<f64> {
-        (self.timed >= constants::SOLID_MEAN_TASKS)
-            .then(|| self.sum_ms as f64 / f64::from(self.timed))
+        self.mean_ms().filter(|_| self.timed >= constants::SOLID_MEAN_TASKS)
     }
 
     /// Whether tasks of it may be started at all.
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -109,11 +109,7 @@
                 named && Room::of_flavor(f).fits(&job.need)
             })
             .collect();
-        let yard = job
-            .spec
-            .yard
-            .as_ref()
-            .map(|y| self.setup.params.zones.iter().position(|z| z == y).unwrap_or(usize::MAX));
+        let yard = job.spec.yard.as_ref().map(|y| self.setup.params.zone(y).unwrap_or(usize::MAX));
         JobView {
             team: job.team,
             rank: job.spec.rank,
@@ -134,7 +130,7 @@
             due: job.due,
             guess: job.spec.guess_s,
             finished: job.done,
-            mean: (job.timed > 0).then(|| job.sum_ms as f64 / 1000.0 / f64::from(job.timed)),
+            mean: job.mean_ms().map(|ms| ms / 1000.0),
             unfinished: job.unfinished(),
             running: job.held,
             startable,
@@ -151,7 +147,7 @@
         now: u64,
     ) -> Option<HostView> {
         let flavor = self.flavors.iter().position(|f| f.label == host.flavor)?;
-        let yard = self.setup.params.zones.iter().position(|z| *z == host.yard)?;
+        let yard = self.setup.params.zone(&host.yard)?;
         let total = Room::of_flavor(&self.flavors[flavor]);
         let (free, strangers) = self.free_room(host, total);
         let quiet = (self.setup.params.workers.report_s * 2000.0) as u64;
@@ -185,11 +181,7 @@
             loaner: host.loaner,
             total,
             free,
-            price: if host.loaner {
-                self.flavors[flavor].market_price.unwrap_or(self.flavors[flavor].hourly)
-            } else {
-                self.flavors[flavor].hourly
-            },
+            price: self.flavors[flavor].price(host.loaner),
             images: host.images.iter().map(|(i, _)| *i).collect(),
             open,
             booting: !host.heard && !taken,
@@ -353,7 +345,7 @@
             }
             job.slots[index as usize] = Slot::Held;
             job.held += 1;
-            if let Some(zone) = self.setup.params.zones.iter().position(|z| *z == host.yard) {
+            if let Some(zone) = self.setup.params.zone(&host.yard) {
                 job.per_zone[zone] += 1;
             }
             host.idle_since = None;
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -129,7 +129,7 @@
         .iter()
         .enumerate()
         .filter(|(i, _)| job.flavors.get(*i).copied().unwrap_or(false))
-        .map(|(_, f)| if f.fetch_gb_per_s > 0.0 { job.image_gb / f.fetch_gb_per_s } else { 0.0 })
+        .map(|(_, f)| f.fetch_s(job.image_gb))
         .fold(f64::INFINITY, f64::min);
     if fastest.is_finite() { fastest } else { 0.0 }
 }
@@ -149,8 +149,7 @@
         }
         let tasks = fits.min(short);
         // Boot and image fetch are paid for too, spread over a nominal minute of work.
-        let fetch =
-            if flavor.fetch_gb_per_s > 0.0 { job.image_gb / flavor.fetch_gb_per_s } else { 0.0 };
+        let fetch = flavor.fetch_s(job.image_gb);
         let overhead = 1.0 + (flavor.ready_s + fetch) / 60.0;
         let price = offer.price * overhead / f64::from(tasks);
         if best.is_none_or(|(b, _, _)| price < b) {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -16,8 +16,7 @@
     if host.images.contains(&job.image) {
         return 0.0;
     }
-    let rate = world.flavors.get(host.flavor).map_or(0.0, |f| f.fetch_gb_per_s);
-    if rate > 0.0 { job.image_gb / rate } else { 0.0 }
+    world.flavors.get(host.flavor).map_or(0.0, |f| f.fetch_s(job.image_gb))
 }
 
 /// How badly a machine suits a task; smaller is better. Seconds of image fetch (image locality, the
@@ -91,6 +90,20 @@
         .fold(0u32, |n, h| n.saturating_add(h.free.count(&job.need)))
 }
 
+/// Whether each machine with room for the job would have to fetch its image first. Once machines
+/// are being cleared for it, it takes what it can get.
+fn waits_for_image(world: &World, job_ix: usize) -> bool {
+    let job = &world.jobs[job_ix];
+    let clearing = world.hosts.iter().any(|h| h.kept_for == Some(job_ix));
+    let mut fetches = world
+        .hosts
+        .iter()
+        .filter(|h| usable(job_ix, job, h))
+        .map(|h| fetch_time(world, job, h))
+        .peekable();
+    !clearing && fetches.peek().is_some() && fetches.all(|s| s > 0.0)
+}
+
 /// Places up to `tasks` tasks of an array, or all of a gang; the world is updated.
 fn place_job(world: &mut World, job_ix: usize, tasks: u32) -> Vec<usize> {
     let job = &world.jobs[job_ix];
@@ -103,15 +116,7 @@
     let gang = job.gang;
     // A gang starts together, so one missing image keeps all of it waiting. Where it may push work
     // aside on machines that hold the image, that can be the earlier start.
-    let fetch = world
-        .hosts
-        .iter()
-        .filter(|h| usable(job_ix, job, h))
-        .map(|h| fetch_time(world, job, h))
-        .fold(f64::INFINITY, f64::min);
-    // Once machines are being cleared for it, it takes what it can get.
-    let clearing = world.hosts.iter().any(|h| h.kept_for == Some(job_ix));
-    if gang && !clearing && fetch.is_finite() && fetch > 0.0 && worth_evicting(world, job_ix) {
+    if gang && waits_for_image(world, job_ix) && worth_evicting(world, job_ix) {
         return Vec::new();
     }
     // A job that has to be in one zone: the one where most of it finds room, unless it is in one.
@@ -231,15 +236,20 @@
     false
 }
 
-/// Whether the job can run at all: a task fits an allowed machine type, and its team's limit allows
-/// one task of an array or all tasks of a gang. The error says why not.
-pub fn fits_somewhere(job: &JobView, team: &TeamView, types: usize) -> Result<(), String> {
-    if !(0..types).any(|f| job.flavors.get(f).copied().unwrap_or(false)) {
+/// Whether a job can run at all: a task fits some allowed machine type (`types`, one entry each), and
+/// its team's limit allows the `least` tasks that must run at a time, one of an array or all of a
+/// gang. The error says why not.
+pub fn fits_somewhere(
+    types: &[bool],
+    need: &Room,
+    least: u32,
+    team: &TeamView,
+) -> Result<(), String> {
+    if !types.contains(&true) {
         return Err("a task fits no allowed machine type".into());
     }
     let fresh = TeamView { used: Room::default(), ..team.clone() };
-    let least = if job.gang { job.pieces } else { 1 };
-    if fresh.allows(&job.need) < least {
+    if fresh.allows(need) < least {
         return Err("the job needs more than its team's limit".into());
     }
     Ok(())
@@ -390,11 +400,10 @@
     #[test]
     fn what_can_never_run_is_told() {
         let team = TeamView { limit: (4.0, 0.0), ..TeamView::default() };
-        assert!(fits_somewhere(&job(3.0, 10), &team, 1).is_ok());
-        assert!(fits_somewhere(&job(5.0, 1), &team, 1).is_err());
-        assert!(fits_somewhere(&JobView { gang: true, ..job(3.0, 2) }, &team, 1).is_err());
-        assert!(
-            fits_somewhere(&JobView { flavors: vec![false], ..job(1.0, 1) }, &team, 1).is_err()
-        );
+        let room = |cpus| Room { cpus, gpus: 0.0, ram: 1.0 };
+        assert!(fits_somewhere(&[true], &room(3.0), 1, &team).is_ok());
+        assert!(fits_somewhere(&[true], &room(5.0), 1, &team).is_err());
+        assert!(fits_somewhere(&[true], &room(3.0), 2, &team).is_err(), "a gang of two");
+        assert!(fits_somewhere(&[false], &room(1.0), 1, &team).is_err());
     }
 }
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -30,6 +30,18 @@
     pub yards: Vec<String>,
 }
 
+impl Flavor {
+    /// Nominal time to fetch an image of this size, s.
+    pub fn fetch_s(&self, image_gb: f64) -> f64 {
+        if self.fetch_gb_per_s > 0.0 { image_gb / self.fetch_gb_per_s } else { 0.0 }
+    }
+
+    /// Current price per hour of a spot or ordinary machine.
+    pub fn price(&self, loaner: bool) -> f64 {
+        if loaner { self.market_price.unwrap_or(self.hourly) } else { self.hourly }
+    }
+}
+
 /// All machine types.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
