--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -314,57 +314,20 @@
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
+mod tests {
     use super::*;
-
-    pub(crate) const SAMPLE: &str = r#"
-label = "worker-0"
-domain = "a"
-api_addr = "127.0.0.1:8080"
-peer_bind = "127.0.0.1:8081"
-something_new = 3
-[[siblings]]
-label = "worker-1"
-domain = "b"
-address = "127.0.0.1:9081"
-[outside]
-cloud = "127.0.0.1:8443"
-state = "127.0.0.1:2379"
-[settings]
-zones = ["a", "b"]
-[[settings.teams]]
-name = "team"
-[[settings.objectives]]
-kind = "finished"
-class = "cleanup"
-within_s = 150.0
-share = 0.8
-[settings.workers]
-report_s = 2.0
-lease_s = 14.0
-gang_wait_s = 35.0
-gang_peer_s = 4.0
-cancel_s = 44.0
-[settings.state]
-rps = 200.0
-write_rps = 25.0
-value_kb = 8.0
-txn_ops = 8
-[settings.cloud]
-rps = 4.0
-list_lag_s = 4.0
-"#;
+    use hookway_testkit::SETTINGS;
 
     #[test]
     fn unknown_settings_are_ignored_and_wrong_ones_named() {
-        assert!(Settings::parse(SAMPLE).is_ok());
-        let broken = SAMPLE.replace("lease_s = 14.0", "");
+        assert!(Settings::parse(SETTINGS).is_ok());
+        let broken = SETTINGS.replace("lease_s = 14.0", "");
         assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
-        let broken = SAMPLE.replace("lease_s = 14.0", "lease_s = 'soon'");
+        let broken = SETTINGS.replace("lease_s = 14.0", "lease_s = 'soon'");
         assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
-        let broken = SAMPLE.replace("lease_s = 14.0", "lease_s = -1.0");
+        let broken = SETTINGS.replace("lease_s = 14.0", "lease_s = -1.0");
         assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
-        let broken = SAMPLE.replace("127.0.0.1:2379", "nowhere");
+        let broken = SETTINGS.replace("state = \"127.0.0.1:1\"", "state = \"nowhere\"");
         assert!(Settings::parse(&broken).unwrap_err().contains("outside.state"));
     }
 
--- a/crates/controller/tests/api.rs
+++ b/crates/controller/tests/api.rs
@@ -9,6 +9,7 @@
 use hookway_controller::ledger::{Lookup, Withdrawal};
 use hookway_controller::node::{Ask, CheckInReply};
 use hookway_controller::peers::Peers;
+use hookway_testkit::SETTINGS;
 use hookway_wire::{CheckInAnswer, ErrorBody, Flavor, JobId, JobState, JobStatus};
 use salvo::Service;
 use salvo::http::StatusCode;
@@ -17,34 +18,6 @@
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
 
-const SETTINGS: &str = r#"
-label = "worker-0"
-api_addr = "127.0.0.1:8080"
-peer_bind = "127.0.0.1:8081"
-[outside]
-cloud = "127.0.0.1:1"
-state = "127.0.0.1:1"
-[settings]
-zones = ["a"]
-[[settings.teams]]
-name = "vision"
-cpus_max = 100.0
-[settings.workers]
-report_s = 2.0
-lease_s = 14.0
-gang_wait_s = 35.0
-gang_peer_s = 4.0
-cancel_s = 44.0
-[settings.state]
-rps = 2000.0
-write_rps = 25.0
-value_kb = 8.0
-txn_ops = 8
-[settings.cloud]
-rps = 4.0
-list_lag_s = 4.0
-"#;
-
 const JOB: &str = r#"{"NameId":"req-000412","Lane":"train","Owner":"vision","Shape":"group","Rank":"high",
  "Pieces":4,"Vcpus":8.0,"Gpus":0,"RamGb":64.0,"Bundle":"img-07","ImageGb":6.2,"Flavors":["g8"],"Yard":null,
  "Together":true,"Spread":false,"Loaners":true,"GuessS":240.0,"SnapshotEveryS":30.0,"SnapshotS":4.0}"#;
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -7,43 +7,12 @@
     CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal, lease_over_ms,
 };
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key, roster_key};
-use hookway_testkit::{MemoryStore, ScriptedWorker};
+use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker};
 use hookway_wire::{
     Cause, Change, Flavor, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order,
     Transaction,
 };
 
-const SETTINGS: &str = r#"
-label = "worker-0"
-domain = "a"
-api_addr = "127.0.0.1:8080"
-peer_bind = "127.0.0.1:8081"
-[outside]
-cloud = "127.0.0.1:8443"
-state = "127.0.0.1:2379"
-[settings]
-zones = ["a", "b"]
-[[settings.teams]]
-name = "team"
-[[settings.teams]]
-name = "tight"
-cpus_max = 4.0
-[settings.workers]
-report_s = 2.0
-lease_s = 14.0
-gang_wait_s = 35.0
-gang_peer_s = 4.0
-cancel_s = 44.0
-[settings.state]
-rps = 200.0
-write_rps = 1000.0
-value_kb = 8.0
-txn_ops = 8
-[settings.cloud]
-rps = 4.0
-list_lag_s = 4.0
-"#;
-
 fn flavors() -> Vec<Flavor> {
     vec![Flavor {
         label: "small".into(),
@@ -77,9 +46,11 @@
 }
 
 fn setup() -> Setup {
+    // So many writes a second that the budget never holds a test up.
+    let settings = SETTINGS.replace("write_rps = 25.0", "write_rps = 1000.0");
     Setup {
         label: "worker-0".into(),
-        params: Settings::parse(SETTINGS).expect("sound settings").settings,
+        params: Settings::parse(&settings).expect("sound settings").settings,
         operator: OperatorSettings::default(),
     }
 }
@@ -177,6 +148,19 @@
     ScriptedWorker::new(name, "small", yard)
 }
 
+/// An entry of the cloud's list.
+fn listed(name: &str, status: HostState, age_s: f64) -> ListedHost {
+    ListedHost {
+        name_id: name.into(),
+        addr: None,
+        flavor: "small".into(),
+        yard: "a".into(),
+        loaners: false,
+        status,
+        age_s,
+    }
+}
+
 #[test]
 fn a_job_runs_to_its_end_and_is_told_done_only_once_that_is_durable() {
     let mut play = Play::start();
@@ -311,15 +295,7 @@
     near.end(&near.live()[0].clone(), Cause::Done);
     next.settle(&mut [&mut near]);
     assert!(!next.ledger.settled(next.now));
-    let entry = ListedHost {
-        name_id: "m-1".into(),
-        addr: None,
-        flavor: "small".into(),
-        yard: "a".into(),
-        loaners: false,
-        status: HostState::Running,
-        age_s: 100.0,
-    };
+    let entry = listed("m-1", HostState::Running, 100.0);
     next.ledger.listed(&[entry], next.now, next.now);
     next.settle(&mut [&mut near]);
     assert_eq!(near.live(), [lost]);
@@ -654,15 +630,7 @@
     let (mut one, mut two) = (small("m-1", "a"), small("m-2", "a"));
     play.submit(job("req-000001", "array", 1));
     play.settle(&mut [&mut one]);
-    let entry = ListedHost {
-        name_id: "m-1".into(),
-        addr: None,
-        flavor: "small".into(),
-        yard: "a".into(),
-        loaners: false,
-        status: HostState::Failed,
-        age_s: 60.0,
-    };
+    let entry = listed("m-1", HostState::Failed, 60.0);
     play.ledger.listed(&[entry], play.now, play.now);
     play.settle(&mut [&mut two]);
     assert_eq!(two.live(), ["req-000001/0"]);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,9 +2,11 @@
 //! over HTTP on loopback, and a worker that does as it is told. None of them reads a clock.
 
 mod server;
+mod settings;
 mod store;
 mod worker;
 
 pub use server::StoreServer;
+pub use settings::SETTINGS;
 pub use store::MemoryStore;
 pub use worker::ScriptedWorker;
