--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -337,7 +337,10 @@
     pub async fn submit(&self, body: &[u8], from_peer: bool) -> Verdict {
         let spec = match JobSpec::parse(body) {
             Ok(spec) => spec,
-            Err(why) => return Verdict::Refused(400, why),
+            Err(why) => {
+                tracing::info!("submission refused: {why}");
+                return Verdict::Refused(400, why);
+            }
         };
         let id = spec.name_id.clone();
         if let Some(told) = self.final_state(&id) {
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -118,6 +118,7 @@
             team: job.team,
             rank: job.spec.rank,
             gang: job.spec.is_gang(),
+            endless: job.spec.is_endless(),
             pieces: job.spec.pieces,
             need: job.need,
             flavors,
@@ -300,7 +301,8 @@
             for (i, held) in host.held.iter().enumerate() {
                 let (Some(since), None) = (held.running_since, held.kill) else { continue };
                 let job = held.job.and_then(|k| self.jobs.get(&k));
-                let Some(job) = job.filter(|j| !j.spec.is_gang()) else { continue };
+                let one_by_one = |j: &&Job| !j.spec.is_gang() && !j.spec.is_endless();
+                let Some(job) = job.filter(one_by_one) else { continue };
                 // Once only: a task that is long wherever it runs must come to its end.
                 if job.given_up.contains(&held.index) {
                     continue;
--- a/crates/policy/src/minimum.rs
+++ b/crates/policy/src/minimum.rs
@@ -7,6 +7,9 @@
 /// finished tasks times the unfinished tasks and C the time to the deadline. With less than one mean
 /// task time left, all unfinished tasks. Until a task has finished, the running count.
 pub fn minimum(job: &JobView, now: f64) -> u32 {
+    if job.endless {
+        return job.unfinished;
+    }
     let Some(mean) = job.mean else { return job.running };
     let Some(due) = job.due else { return 0 };
     over(mean, job.unfinished, due - now)
@@ -23,7 +26,7 @@
 /// Tasks that the fleet should have room for: the minimum with the owner's estimate as a prior, and
 /// with `lead` seconds taken off the time left (boot and image). A gang wants all its tasks.
 pub fn wanted(job: &JobView, now: f64, lead: f64) -> u32 {
-    if job.gang {
+    if job.gang || job.endless {
         return job.unfinished;
     }
     let mean = job.task_time();
@@ -68,6 +71,8 @@
         assert_eq!(minimum(&j, 120.0), 39, "late");
         j.due = None;
         assert_eq!(minimum(&j, 0.0), 0);
+        j.endless = true;
+        assert_eq!(minimum(&j, 0.0), 39, "what runs until it is withdrawn is wanted whole");
     }
 
     #[test]
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -255,6 +255,7 @@
             team: 0,
             rank: Rank::Normal,
             gang: false,
+            endless: false,
             pieces,
             need: Room { cpus, gpus: 0.0, ram: 1.0 },
             flavors: vec![true],
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -10,6 +10,8 @@
     pub rank: Rank,
     /// A gang starts whole or not at all.
     pub gang: bool,
+    /// Its tasks run until it is withdrawn: all of them are wanted all the time.
+    pub endless: bool,
     /// Number of tasks.
     pub pieces: u32,
     /// What one task takes.
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -60,6 +60,9 @@
     Array,
     /// A gang: all tasks at the same time or none.
     Group,
+    /// Independent tasks that run until their user withdraws the job. The protocol page does not
+    /// describe this shape, but `fleetbench real` submits it (see docs/questions.md).
+    Daemon,
 }
 
 /// A job's priority, lowest first.
@@ -178,6 +181,11 @@
         self.shape == Shape::Group
     }
 
+    /// Whether the tasks are meant to run until the job is withdrawn.
+    pub fn is_endless(&self) -> bool {
+        self.shape == Shape::Daemon
+    }
+
     /// Most tasks that one zone may hold at a time.
     pub fn zone_cap(&self) -> u32 {
         if self.spread { self.pieces.div_ceil(2) } else { self.pieces }
@@ -249,6 +257,8 @@
     fn a_good_job_is_read_and_null_may_be_missing() {
         let job = JobSpec::parse(GOOD.as_bytes()).unwrap();
         assert_eq!((job.pieces, job.rank, job.shape), (16, Rank::High, Shape::Group));
+        let endless = GOOD.replace("\"group\"", "\"daemon\"");
+        assert!(JobSpec::parse(endless.as_bytes()).unwrap().is_endless());
         let short = GOOD.replace(r#""Yard":null,"#, "").replace(r#","DueS":900.0"#, "");
         let job = JobSpec::parse(short.as_bytes()).unwrap();
         assert_eq!((job.yard, job.due_s), (None, None));
