--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -41,6 +41,13 @@
 pub const MINIMUM_REWRITE_CHANGE: f64 = 0.25;
 /// Share of the store's request rate that one node allows itself.
 pub const NODE_REQUEST_SHARE: f64 = 0.3;
+/// Bytes that a machine takes in a roster record with the hints about it, bytes: name, time, and up
+/// to `ROSTER_IMAGES` numbers. So many machines to a record as its value may hold.
+pub const ROSTER_ENTRY_BYTES: usize = 128;
+/// Images of a machine that its roster entry names, the last used ones.
+pub const ROSTER_IMAGES: usize = 16;
+/// Starts the name of a roster record, against the machines' own names of the older format.
+pub const ROSTER_RECORD_PREFIX: &str = "record-";
 /// Tasks in one progress record: 4 KiB of bits, which fit in any sensible value limit as base64.
 pub const PROGRESS_CHUNK_TASKS: u32 = 16_384;
 
@@ -53,6 +60,8 @@
 pub const WORKER_TIMEOUT_MS: u64 = 1_500;
 /// Pause between two readings of the machine list, ms.
 pub const CLOUD_LIST_EVERY_MS: u64 = 3_000;
+/// Added to that for each machine, ms: reading a thousand entries takes milliseconds of a whole core.
+pub const CLOUD_LIST_PER_HOST_MS: u64 = 4;
 /// Pause between two readings of the machine types (their prices move), ms.
 pub const FLAVORS_EVERY_MS: u64 = 60_000;
 /// Pause before a failed reading of the machine types, ms.
@@ -74,9 +83,11 @@
 /// A machine is returned once it has been idle for this many times what a new one takes to boot and
 /// to fetch an image. 1 is the break-even of the cost; above it, late work is spared.
 pub const IDLE_RETURN_FACTOR: f64 = 1.0;
-/// How long a new leader waits for machines of the roster before it returns those that have not
-/// reported, ms: time for a worker to try each node, with one that hangs among them.
-pub const UNHEARD_RETURN_MS: u64 = 9_000;
+/// Longest time between two reports, in the workers' nominal ones (protocol: a quarter more).
+pub const LONGEST_REPORT: f64 = 1.25;
+/// How long beyond that a new leader waits for machines of the roster before it returns those that
+/// have not reported, ms: time for a worker to try each node, with one that hangs among them.
+pub const UNHEARD_RETURN_MS: u64 = 7_000;
 /// Only if their lease lasts this much longer, ms.
 pub const UNHEARD_WORTH_MS: u64 = 6_000;
 /// A leader that has heard no worker for this many report intervals, although it has machines,
@@ -100,6 +111,16 @@
 /// A report's answer includes a scheduling round unless one was held less than this ago, ms. Bounds
 /// the processor time when many workers report at once.
 pub const ROUND_AT_REPORT_MS: u64 = 40;
+/// What a scheduling round takes for each machine, and for each pair of a machine and a job that
+/// waits, microseconds of a whole core (measured on this code, rounded up).
+pub const ROUND_HOST_US: f64 = 3.0;
+/// The same for each pair of a machine and a job that waits.
+pub const ROUND_PAIR_US: f64 = 0.03;
+/// Share of the core that settings give which scheduling rounds may take. The rest is for reports,
+/// whose answers fill the room that they show free.
+pub const ROUND_CORE_SHARE: f64 = 0.25;
+/// Longest pause between two rounds for lack of processor time, ms.
+pub const ROUND_PAUSE_MAX_MS: u64 = 2_000;
 /// Pause of the leader's clockwork, ms.
 pub const TICK_MS: u64 = 100;
 /// Pause between two fleet rounds, ms.
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -107,6 +107,13 @@
     /// Most sockets.
     #[serde(default = "default_sockets")]
     pub max_sockets: usize,
+    /// Share of a core.
+    #[serde(default = "default_core_share")]
+    pub core_share: f64,
+}
+
+fn default_core_share() -> f64 {
+    1.0
 }
 
 fn default_sockets() -> usize {
@@ -115,7 +122,7 @@
 
 impl Default for MachineLimits {
     fn default() -> Self {
-        Self { max_sockets: default_sockets() }
+        Self { max_sockets: default_sockets(), core_share: default_core_share() }
     }
 }
 
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -55,7 +55,8 @@
         host.loaner = report.loaners;
         host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
         if !host.rostered {
-            self.writer.want_rostered(name);
+            let at_ms = self.wall_at(now);
+            self.writer.roster.want(name, at_ms);
         }
         // A report can be older than this leader's term although it is the newest that it has seen,
         // and what the earlier leader started since is not in it. One that carries this term's token
@@ -72,8 +73,10 @@
             host.last_answer = now;
         }
         // As with the paper's heartbeats, room that a report shows free is filled in its answer.
-        if now >= self.last_round + constants::ROUND_AT_REPORT_MS {
+        if now >= self.last_round + self.round_pause() {
             self.round(now);
+        } else {
+            self.fill(name, now);
         }
         let orders = self.orders_for(name, now);
         Some(CheckInAnswer { baton: self.term, orders })
@@ -117,7 +120,7 @@
                 held.phase = Phase::On(piece.status);
                 if piece.status == PieceState::Running && held.running_since.is_none() {
                     let took = now.saturating_sub(held.since) as f64 / 1000.0;
-                    tracing::info!(
+                    tracing::debug!(
                         "task {} on {name}: runs, {took:.1} s after placement",
                         held.piece
                     );
@@ -199,6 +202,7 @@
                 }
             }
             if held.stray {
+                self.stops_due = true;
                 job.strays.push(task.index);
                 job.free.remove(&task.index);
             }
@@ -207,7 +211,10 @@
                 job.per_zone[zone] += 1;
             }
         }
-        tracing::info!(
+        if held.job.is_none() {
+            self.strangers += 1;
+        }
+        tracing::debug!(
             "machine {name}: found {} attempt {}{}",
             held.piece,
             held.attempt,
@@ -219,7 +226,10 @@
     /// A task has left its place on a machine.
     pub(super) fn leave(&mut self, name: &str, held: &Held, leave: Leave, now: u64) {
         let yard = self.hosts.get(name).map(|h| h.yard.clone()).unwrap_or_default();
-        let Some(key) = held.job else { return };
+        let Some(key) = held.job else {
+            self.strangers = self.strangers.saturating_sub(1);
+            return;
+        };
         let Some(job) = self.jobs.get_mut(&key) else { return };
         job.held = job.held.saturating_sub(1);
         if let Some(zone) = self.setup.params.zone(&yard) {
@@ -234,6 +244,7 @@
             job.slots[index as usize] = Slot::Free;
             if job.spec.is_gang() && leave != Leave::Ended(Cause::Done) {
                 job.broken = true;
+                self.stops_due = true;
             }
         }
         // Free only when no machine has it in any attempt: a stray counts as much as the real one.
@@ -244,7 +255,11 @@
         match leave {
             Leave::NotStarted => {}
             Leave::Ended(cause) => {
-                tracing::info!("task {} attempt {} on {name}: {cause:?}", held.piece, held.attempt);
+                tracing::debug!(
+                    "task {} attempt {} on {name}: {cause:?}",
+                    held.piece,
+                    held.attempt
+                );
                 self.ended_with(name, key, held, cause, now);
             }
             Leave::Lost => {
@@ -320,6 +335,7 @@
         }
         job.errors = 0;
         let all = job.spec.is_gang();
+        self.stops_due |= all || !job.strays.is_empty();
         let indexes = if all { 0..job.spec.pieces } else { index..index + 1 };
         for i in indexes {
             if job.slots[i as usize] == Slot::Done {
@@ -358,11 +374,8 @@
     /// A machine is proven gone.
     pub(super) fn bury(&mut self, name: &str, now: u64) {
         self.clear_host(name, now, Leave::Lost);
-        if let Some(host) = self.hosts.remove(name)
-            && (host.rostered || self.writer.rostering(name))
-        {
-            self.writer.want_unrostered(name);
-        }
+        self.hosts.remove(name);
+        self.writer.roster.drop(name);
         self.unheard.remove(name);
         self.blocks.forget(name);
         self.deleting.remove(name);
@@ -416,7 +429,7 @@
                     wind_down_s,
                 }),
                 (Phase::Planned, None) if may_start && orders.len() < ORDERS_AT_MOST => {
-                    tracing::info!("task {} attempt {}: start on {name}", h.piece, h.attempt);
+                    tracing::debug!("task {} attempt {}: start on {name}", h.piece, h.attempt);
                     orders.push(Order::Run { piece: h.piece.clone(), r#try: h.attempt });
                     h.phase = Phase::Sent;
                 }
@@ -437,6 +450,9 @@
     /// is handed out once; if it gets lost, the answer to the next report says the same.
     pub fn take_pushes(&mut self, now: u64) -> Vec<(String, DirectOrders)> {
         let mut pushes = Vec::new();
+        if !std::mem::take(&mut self.stops_due) {
+            return pushes;
+        }
         let names: Vec<String> = self.hosts.keys().cloned().collect();
         for name in names {
             let Some(host) = self.hosts.get(&name) else { continue };
@@ -501,7 +517,7 @@
             }
         }
         if host.image_set() != host.written_images {
-            self.writer.want_images(name);
+            self.writer.roster.hint(name);
         }
     }
 
--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -1,13 +1,14 @@
+use super::roster::Roster;
 use super::{Ledger, Slot};
 use crate::config::Params;
 use crate::records::{
-    FinalRecord, ImagesRecord, MinimumRecord, ProgressRecord, final_key, images_key, job_key,
-    minimum_key, progress_key, roster_key,
+    FinalRecord, MinimumRecord, ProgressRecord, final_key, job_key, minimum_key, progress_key,
+    roster_key,
 };
 use hookway_constants as constants;
 use hookway_policy::needs_rewrite;
 use hookway_wire::{Change, Guard, JobId, JobState, KeyValue, Transaction};
-use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Bytes of values that one transaction may hold; the limit is 64 KiB in all.
 const TRANSACTION_BYTES: usize = 48 * 1024;
@@ -39,11 +40,11 @@
     pub lead: Guard,
     pub finals: VecDeque<u64>,
     pub chunks: VecDeque<(u64, usize)>,
-    roster: VecDeque<String>,
-    roster_wanted: HashSet<String>,
+    pub roster: Roster,
+    /// Entries of the older format, by machine: dropped once a record holds the machine.
+    old_entries: HashMap<String, String>,
     trash: VecDeque<String>,
     minimums: BTreeMap<u64, MinimumRecord>,
-    images: BTreeSet<String>,
     bucket: Bucket,
     minimum_bucket: Bucket,
     busy: bool,
@@ -58,11 +59,10 @@
             lead,
             finals: VecDeque::new(),
             chunks: VecDeque::new(),
-            roster: VecDeque::new(),
-            roster_wanted: HashSet::new(),
+            roster: Roster::new(params.state.value_kb),
+            old_entries: HashMap::new(),
             trash: VecDeque::new(),
             minimums: BTreeMap::new(),
-            images: BTreeSet::new(),
             bucket: Bucket::new(rate * constants::LEADER_WRITE_SHARE, now),
             minimum_bucket: Bucket::new(rate * constants::MINIMUM_WRITE_SHARE, now),
             busy: false,
@@ -75,27 +75,10 @@
         self.trash.push_back(key);
     }
 
-    pub fn want_rostered(&mut self, host: &str) {
-        if self.roster_wanted.insert(host.to_owned()) {
-            self.roster.push_back(host.to_owned());
-        }
-    }
-
-    /// Whether an entry for this machine is waiting or under way.
-    pub fn rostering(&self, host: &str) -> bool {
-        self.roster_wanted.contains(host)
-    }
-
-    pub fn want_unrostered(&mut self, host: &str) {
-        self.roster.retain(|h| h != host);
-        self.roster_wanted.remove(host);
-        self.trash.push_back(roster_key(host));
-        self.images.remove(host);
-        self.trash.push_back(images_key(host));
-    }
-
-    pub fn want_images(&mut self, host: &str) {
-        self.images.insert(host.to_owned());
+    /// A machine of the older format's roster: it moves to a record.
+    pub fn old_entry(&mut self, host: &str, at_ms: u64) {
+        self.old_entries.insert(host.to_owned(), roster_key(host));
+        self.roster.want(host, at_ms);
     }
 }
 
@@ -103,10 +86,9 @@
 enum Item {
     Final(u64, FinalRecord),
     Chunk(u64, usize, ProgressRecord),
-    Roster(String),
+    Roster(u64, Vec<(String, Vec<u32>)>),
     Trash(String),
     Minimum(u64, MinimumRecord),
-    Images(String, Vec<u32>),
 }
 
 /// A transaction with what it stands for.
@@ -160,8 +142,9 @@
             items: vec![],
         };
         self.add_finals(&mut commit, most);
-        self.add_roster(&mut commit, most, now);
-        self.add_chunks(&mut commit, most);
+        let mut bytes = 0;
+        self.add_roster(&mut commit, most, &mut bytes);
+        self.add_chunks(&mut commit, most, &mut bytes);
         while commit.transaction.apply.len() < most
             && let Some(key) = self.writer.trash.pop_front()
         {
@@ -169,7 +152,7 @@
             commit.items.push(Item::Trash(key));
         }
         self.add_minimums(&mut commit, most, now);
-        self.add_images(&mut commit, most, now);
+        self.add_hints(&mut commit, most, now, &mut bytes);
         if commit.transaction.apply.is_empty() {
             return None;
         }
@@ -200,23 +183,54 @@
         }
     }
 
-    fn add_roster(&mut self, commit: &mut Commit, most: usize, now: u64) {
-        // A new leader reckons from this time since when a machine must be listed: it must not lie
-        // before the machine was known.
-        let at_ms = self.wall_at(now);
+    fn add_roster(&mut self, commit: &mut Commit, most: usize, bytes: &mut usize) {
         while commit.transaction.apply.len() < most
-            && let Some(host) = self.writer.roster.pop_front()
+            && *bytes < TRANSACTION_BYTES
+            && let Some(number) = self.writer.roster.next_urgent()
         {
-            let value = serde_json::json!({ "term": self.term, "at_ms": at_ms });
-            commit.transaction.apply.push(Change::put(roster_key(&host), value));
-            commit.items.push(Item::Roster(host));
+            self.add_roster_record(commit, number, bytes);
         }
     }
 
-    fn add_chunks(&mut self, commit: &mut Commit, most: usize) {
-        let mut bytes = 0;
+    /// Hints about machines, within the share of minimums, since nothing waits for them.
+    fn add_hints(&mut self, commit: &mut Commit, most: usize, now: u64, bytes: &mut usize) {
         while commit.transaction.apply.len() < most
-            && bytes < TRANSACTION_BYTES
+            && *bytes < TRANSACTION_BYTES
+            && self.writer.minimum_bucket.fill(now) >= 1.0
+        {
+            let Some(number) = self.writer.roster.next_stale() else { break };
+            self.writer.minimum_bucket.units -= 1.0;
+            self.add_roster_record(commit, number, bytes);
+        }
+    }
+
+    fn add_roster_record(&mut self, commit: &mut Commit, number: u64, bytes: &mut usize) {
+        let names = &self.image_names;
+        let images = |host: &str| -> Vec<(&str, f64)> {
+            let held = self.hosts.get(host).map(|h| h.images.as_slice()).unwrap_or_default();
+            let named = |(i, gb): &(u32, f64)| Some((names.get(*i as usize)?.as_str(), *gb));
+            held.iter().filter_map(named).collect()
+        };
+        let value_kb = self.setup.params.state.value_kb;
+        let Some(value) = self.writer.roster.record(number, value_kb, images) else { return };
+        let members = self.writer.roster.members(number).map(|(host, _)| {
+            let images = self.hosts.get(host).map(super::Host::image_set).unwrap_or_default();
+            (host.clone(), images)
+        });
+        let members: Vec<(String, Vec<u32>)> = members.collect();
+        let key = Roster::key(number);
+        if members.is_empty() {
+            commit.transaction.apply.push(Change::delete(key));
+        } else {
+            *bytes += value.to_string().len();
+            commit.transaction.apply.push(Change::put(key, value));
+        }
+        commit.items.push(Item::Roster(number, members));
+    }
+
+    fn add_chunks(&mut self, commit: &mut Commit, most: usize, bytes: &mut usize) {
+        while commit.transaction.apply.len() < most
+            && *bytes < TRANSACTION_BYTES
             && let Some((key, chunk)) = self.writer.chunks.pop_front()
         {
             let Some(job) = self.jobs.get_mut(&key) else { continue };
@@ -227,7 +241,7 @@
             }
             let record = ProgressRecord::new(&job.bits(chunk));
             let Ok(value) = serde_json::to_value(&record) else { continue };
-            bytes += record.bits.len();
+            *bytes += record.bits.len();
             job.chunks[chunk].dirty = false;
             let name = progress_key(&job.id, chunk);
             let guard = Guard { key: name.clone(), stamp: job.chunks[chunk].stamp };
@@ -248,20 +262,6 @@
         }
     }
 
-    fn add_images(&mut self, commit: &mut Commit, most: usize, now: u64) {
-        while commit.transaction.apply.len() < most && self.writer.minimum_bucket.fill(now) >= 1.0 {
-            let Some(name) = self.writer.images.pop_first() else { break };
-            let Some(host) = self.hosts.get(&name).filter(|h| h.rostered) else { continue };
-            let named =
-                |(i, gb): &(u32, f64)| Some((self.image_names.get(*i as usize)?.clone(), *gb));
-            let record = ImagesRecord { images: host.images.iter().filter_map(named).collect() };
-            let Ok(value) = serde_json::to_value(&record) else { continue };
-            self.writer.minimum_bucket.units -= 1.0;
-            commit.transaction.apply.push(Change::put(images_key(&name), value));
-            commit.items.push(Item::Images(name, host.image_set()));
-        }
-    }
-
     /// A job's minimum is now this: kept for the next leader if it changed by a quarter.
     pub(super) fn keep_minimum(&mut self, key: u64, least: u32) {
         let Some(job) = self.jobs.get(&key) else { return };
@@ -316,12 +316,16 @@
             Item::Chunk(key, chunk, record) => {
                 self.durable(key, chunk, epoch, &record);
             }
-            Item::Roster(host) => {
-                self.writer.roster_wanted.remove(&host);
-                match self.hosts.get_mut(&host) {
-                    Some(h) => h.rostered = true,
-                    // Gone while the entry was under way.
-                    None => self.writer.trash.push_back(roster_key(&host)),
+            Item::Roster(_, members) => {
+                for (host, images) in members {
+                    // What is gone meanwhile has left its record, which is out of date already.
+                    if let Some(h) = self.hosts.get_mut(&host) {
+                        h.rostered = true;
+                        h.written_images = images;
+                    }
+                    if let Some(old) = self.writer.old_entries.remove(&host) {
+                        self.writer.trash.push_back(old);
+                    }
                 }
             }
             Item::Minimum(key, record) => {
@@ -333,10 +337,6 @@
                     }
                 }
             }
-            Item::Images(name, set) => match self.hosts.get_mut(&name) {
-                Some(host) => host.written_images = set,
-                None => self.writer.trash.push_back(images_key(&name)),
-            },
             Item::Trash(_) => {}
         }
     }
@@ -350,13 +350,9 @@
                 }
             }
             Item::Chunk(key, chunk, _) => self.queue_if_needed(key, chunk),
-            Item::Roster(host) => {
-                if self.writer.roster_wanted.contains(&host) {
-                    self.writer.roster.push_back(host);
-                }
-            }
+            Item::Roster(number, _) => self.writer.roster.again(number),
             Item::Trash(key) => self.writer.trash.push_back(key),
-            Item::Minimum(..) | Item::Images(..) => {}
+            Item::Minimum(..) => {}
         }
     }
 
@@ -430,6 +426,7 @@
                 job.done += 1;
             }
         }
+        self.stops_due = true;
         if job.over.is_some() {
             let name = progress_key(&job.id, chunk);
             self.writer.trash.push_back(name);
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -53,9 +53,7 @@
         }
         let mut actions = Vec::new();
         let mut scene = self.scene(now);
-        let mut needed = vec![false; scene.hosts.len()];
         // Jobs whose whereabouts are not settled yet still want the room they had.
-        let known = scene.world.hosts.len();
         for r in &self.renting {
             let total = Room::of_flavor(&self.flavors[r.flavor]);
             for _ in 0..r.count {
@@ -76,7 +74,6 @@
         }
         let offers = self.offers(now);
         let plan = plan_fleet(&scene.world, &offers);
-        needed.copy_from_slice(&plan.needed[..known]);
         let room = self
             .setup
             .operator
@@ -115,7 +112,14 @@
             });
             actions.push(FleetAction::Rent(request));
         }
-        let mut doomed = self.doomed(now, &scene.hosts, &needed);
+        let needed: HashSet<&str> = scene
+            .hosts
+            .iter()
+            .zip(&plan.needed)
+            .filter(|(_, needed)| **needed)
+            .map(|(name, _)| name.as_str())
+            .collect();
+        let mut doomed = self.doomed(now, &needed);
         doomed.truncate(constants::DELETE_AT_MOST);
         if !doomed.is_empty() {
             for name in &doomed {
@@ -208,7 +212,7 @@
     }
 
     /// Machines to delete now.
-    fn doomed(&mut self, now: u64, names: &[String], needed: &[bool]) -> Vec<String> {
+    fn doomed(&mut self, now: u64, needed: &HashSet<&str>) -> Vec<String> {
         let lease = lease_over_ms(&self.setup.params);
         let settled = self.settled(now);
         let idle_return: HashMap<String, u64> =
@@ -216,15 +220,20 @@
         let mut doomed = Vec::new();
         let waiting = self.jobs.values().any(|j| j.inherited && j.live() && !j.free.is_empty());
         // Not when most are silent: then it is this node that can't be reached.
+        // Time for a worker to report once, to try each node with one that hangs among them, and to
+        // report again with the new token.
+        let report_ms = self.setup.params.workers.report_s * 1000.0;
+        let unheard_patience =
+            (report_ms * constants::LONGEST_REPORT) as u64 + constants::UNHEARD_RETURN_MS;
         let unheard_go = !settled
             && waiting
             && self.unheard.len() * 2 < self.hosts.len()
-            && now >= self.won_at.max(self.resumed_at) + constants::UNHEARD_RETURN_MS
+            && now >= self.won_at.max(self.resumed_at) + unheard_patience
             && now + constants::UNHEARD_WORTH_MS < self.unheard_until;
         self.note_needs(now);
         let spares = self.spares(now);
         for (name, host) in &mut self.hosts {
-            let needed = names.iter().position(|n| n == name).is_some_and(|i| needed[i]);
+            let needed = needed.contains(name.as_str());
             if !host.held.is_empty() || !host.ended.is_empty() {
                 host.idle_since = None;
             } else if host.heard && host.idle_since.is_none() {
@@ -290,11 +299,12 @@
             let offer = (renting.flavor, renting.yard, renting.loaner);
             self.sold_out.insert(offer, now + constants::SOLD_OUT_MS);
         }
+        let at_ms = self.wall_at(now);
         for name in hosts.unwrap_or_default() {
             if self.buried.contains(&name) {
                 continue;
             }
-            self.writer.want_rostered(&name);
+            self.writer.roster.want(&name, at_ms);
             let host = self.hosts.entry(name).or_insert_with(|| Host::new(now));
             if !host.heard {
                 host.flavor.clone_from(&request.flavor);
@@ -320,6 +330,7 @@
 
     /// The machine list, asked for at `asked`.
     pub fn listed(&mut self, list: &[ListedHost], asked: u64, now: u64) {
+        let at_ms = self.wall_at(now);
         for entry in list {
             let name = &entry.name_id;
             if self.buried.contains(name) {
@@ -338,7 +349,7 @@
                 let mut host = Host::new(now);
                 host.born = now.saturating_sub(age_ms);
                 self.hosts.insert(name.clone(), host);
-                self.writer.want_rostered(name);
+                self.writer.roster.want(name, at_ms);
             }
             let Some(host) = self.hosts.get_mut(name) else { continue };
             if !host.heard {
@@ -359,12 +370,13 @@
         // Once listed, a machine stays listed until it is gone; but a list may be older than the
         // one before, by up to twice the lag.
         let lag = (self.setup.params.cloud.list_lag_s * 1000.0 * constants::UNLISTED_LAGS) as u64;
+        let listed: HashSet<&str> = list.iter().map(|e| e.name_id.as_str()).collect();
         let gone: Vec<String> = self
             .hosts
             .iter()
             .filter(|(name, host)| {
                 host.first_listed.is_some_and(|f| asked as i64 > f + lag as i64)
-                    && !list.iter().any(|e| e.name_id == **name)
+                    && !listed.contains(name.as_str())
             })
             .map(|(name, _)| name.clone())
             .collect();
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 mod commit;
 mod fleet;
 mod model;
+mod roster;
 mod schedule;
 
 pub use commit::{Commit, CommitResult, Learned};
@@ -15,7 +16,9 @@
 
 use crate::blocks::Blocks;
 use crate::config::{OperatorSettings, Params};
-use crate::records::{FinalRecord, ImagesRecord, JobRecord, MinimumRecord, ProgressRecord};
+use crate::records::{
+    FinalRecord, ImagesRecord, JobRecord, MinimumRecord, ProgressRecord, RosterRecord,
+};
 use commit::Writer;
 use hookway_constants as constants;
 use hookway_wire::{Flavor, Guard, JobId, JobState, JobStatus, KeyValue};
@@ -136,6 +139,16 @@
     renting: Vec<fleet::Renting>,
     deleting: HashSet<String>,
     last_round: u64,
+    /// Turns that found no room in the last round, in order: what reports fill free room with.
+    left: Vec<schedule::Left>,
+    /// What the last round set aside of teams' limits for gangs that wait.
+    reserved: Vec<(usize, hookway_policy::Room)>,
+    /// Machines that the last round kept for gangs that wait.
+    kept_back: HashSet<String>,
+    /// Tasks on machines that belong to no job in this ledger.
+    strangers: usize,
+    /// Some task may have to be stopped that its worker was not told about.
+    stops_due: bool,
     /// When this leader won, ms.
     won_at: u64,
     /// Both clocks, as last told.
@@ -195,6 +208,11 @@
             renting: Vec::new(),
             deleting: HashSet::new(),
             last_round: 0,
+            left: Vec::new(),
+            reserved: Vec::new(),
+            kept_back: HashSet::new(),
+            strangers: 0,
+            stops_due: false,
             won_at: at.now,
             told: at,
             lanes: HashMap::new(),
@@ -236,34 +254,66 @@
         }
         for kv in loaded.roster {
             let Some(name) = kv.key.strip_prefix(crate::records::ROSTER) else { continue };
-            let mut host = Host::new(at.now);
-            host.rostered = true;
-            // Old enough entries must be in any list from now on, or the machine is gone. Times of
-            // day may be off on either side.
-            if let Some(since) = kv.v.get("at_ms").and_then(serde_json::Value::as_u64) {
-                let off = self.setup.params.clock_off_ms * 2.0 + 1000.0;
-                let age = at.wall as f64 - since as f64 - off;
-                if age > 0.0 {
-                    host.first_listed = Some(at.now as i64 - age as i64);
+            let Some(number) = roster::Roster::number(name) else {
+                let since = kv.v.get("at_ms").and_then(serde_json::Value::as_u64);
+                self.inherit_host(name, since, Vec::new(), at);
+                self.writer.old_entry(name, since.unwrap_or(at.wall));
+                continue;
+            };
+            let record: RosterRecord = match serde_json::from_value(kv.v) {
+                Ok(record) => record,
+                Err(e) => {
+                    // Nothing can be said of its machines: what they hold shows in their reports, and
+                    // until their leases are over nothing older is started.
+                    tracing::error!("{}: the roster record can't be read: {e}", kv.key);
+                    self.unheard.insert(kv.key);
+                    continue;
                 }
+            };
+            let images: Vec<(u32, f64)> =
+                record.images.iter().map(|(bundle, gb)| (self.image(bundle), *gb)).collect();
+            for (host, entry) in record.hosts {
+                let held = entry.images.iter().filter_map(|i| images.get(*i).copied()).collect();
+                self.inherit_host(&host, Some(entry.at_ms), held, at);
+                self.writer.roster.loaded(number, &host, entry.at_ms);
             }
-            self.hosts.insert(name.to_owned(), host);
-            self.unheard.insert(name.to_owned());
         }
         for kv in loaded.images {
             let name = kv.key.strip_prefix(crate::records::IMAGES).unwrap_or_default();
-            let record = serde_json::from_value::<ImagesRecord>(kv.v);
-            let (true, Ok(record)) = (self.hosts.contains_key(name), record) else {
-                self.writer.trash(kv.key);
-                continue;
-            };
-            let images: Vec<(u32, f64)> =
-                record.images.iter().map(|(bundle, gb)| (self.image(bundle), *gb)).collect();
-            if let Some(host) = self.hosts.get_mut(name) {
-                host.images = images;
-                host.written_images = host.image_set();
+            if let Ok(record) = serde_json::from_value::<ImagesRecord>(kv.v) {
+                let images: Vec<(u32, f64)> =
+                    record.images.iter().map(|(bundle, gb)| (self.image(bundle), *gb)).collect();
+                if let Some(host) = self.hosts.get_mut(name) {
+                    host.images = images;
+                }
+            }
+            self.writer.trash(kv.key);
+        }
+    }
+
+    /// A machine of the roster, known since that time of day.
+    fn inherit_host(
+        &mut self,
+        name: &str,
+        since: Option<u64>,
+        images: Vec<(u32, f64)>,
+        at: Moment,
+    ) {
+        let mut host = Host::new(at.now);
+        host.rostered = true;
+        host.images = images;
+        host.written_images = host.image_set();
+        // Old enough entries must be in any list from now on, or the machine is gone. Times of day
+        // may be off on either side.
+        if let Some(since) = since {
+            let off = self.setup.params.clock_off_ms * 2.0 + 1000.0;
+            let age = at.wall as f64 - since as f64 - off;
+            if age > 0.0 {
+                host.first_listed = Some(at.now as i64 - age as i64);
             }
         }
+        self.hosts.insert(name.to_owned(), host);
+        self.unheard.insert(name.to_owned());
     }
 
     /// The term, which is the token as well.
@@ -271,6 +321,11 @@
         self.term
     }
 
+    /// Machines that this ledger knows of.
+    pub fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Takes in the machine types.
     pub fn set_flavors(&mut self, flavors: Vec<Flavor>) {
         self.flavors = flavors;
@@ -389,6 +444,7 @@
         if job.ending.is_none() {
             tracing::info!("job {id}: its user withdraws it");
             job.ending = Some(JobState::Withdrawn);
+            self.stops_due = true;
             self.writer.finals.push_back(key);
         }
         Withdrawal::Pending
@@ -429,6 +485,7 @@
         if job.written_minimum.is_some() {
             self.writer.trash(crate::records::minimum_key(&job.id));
         }
+        self.stops_due = true;
         self.ended.insert(job.id.clone());
         self.decided.push((job.id.clone(), record));
         self.drop_if_gone(key);
--- /dev/null
+++ b/crates/controller/src/ledger/roster.rs
@@ -0,0 +1,136 @@
+use crate::records::{RosterEntry, RosterRecord, roster_key};
+use hookway_constants as constants;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Which machines stand in which record. Many machines share one, so that hundreds of them may take
+/// their first tasks within seconds at a few changes a second.
+#[derive(Debug)]
+pub(super) struct Roster {
+    most: usize,
+    records: BTreeMap<u64, BTreeMap<String, u64>>,
+    of: HashMap<String, u64>,
+    /// Records that lack a machine in the store: written before anything starts there.
+    urgent: BTreeSet<u64>,
+    /// Records whose hints, or machines that are gone, are out of date.
+    stale: BTreeSet<u64>,
+}
+
+impl Roster {
+    /// An empty roster for values of at most `value_kb` KiB.
+    pub fn new(value_kb: f64) -> Self {
+        let most = value_kb.max(0.0) * 1024.0 / constants::ROSTER_ENTRY_BYTES as f64;
+        Self {
+            most: (most as usize).max(1),
+            records: BTreeMap::new(),
+            of: HashMap::new(),
+            urgent: BTreeSet::new(),
+            stale: BTreeSet::new(),
+        }
+    }
+
+    /// A record that an earlier leader wrote.
+    pub fn loaded(&mut self, number: u64, host: &str, at_ms: u64) {
+        self.records.entry(number).or_default().insert(host.to_owned(), at_ms);
+        self.of.insert(host.to_owned(), number);
+    }
+
+    /// A machine is to be in the roster, known since `at_ms` (time of day).
+    pub fn want(&mut self, host: &str, at_ms: u64) {
+        if self.of.contains_key(host) {
+            return;
+        }
+        let open = self.records.iter().find(|(_, members)| members.len() < self.most);
+        let number = open.map_or_else(
+            || self.records.last_key_value().map_or(0, |(last, _)| last + 1),
+            |(number, _)| *number,
+        );
+        self.records.entry(number).or_default().insert(host.to_owned(), at_ms);
+        self.of.insert(host.to_owned(), number);
+        self.urgent.insert(number);
+    }
+
+    /// A machine is gone. That its entry stays a while longer costs the next leader a look only.
+    pub fn drop(&mut self, host: &str) {
+        if let Some(number) = self.of.remove(host) {
+            if let Some(members) = self.records.get_mut(&number) {
+                members.remove(host);
+            }
+            self.stale.insert(number);
+        }
+    }
+
+    /// The hints about a machine have changed.
+    pub fn hint(&mut self, host: &str) {
+        if let Some(number) = self.of.get(host) {
+            self.stale.insert(*number);
+        }
+    }
+
+    /// The next record that must be written before machines in it take tasks.
+    pub fn next_urgent(&mut self) -> Option<u64> {
+        let number = self.urgent.pop_first()?;
+        self.stale.remove(&number);
+        Some(number)
+    }
+
+    /// The next record that is merely out of date.
+    pub fn next_stale(&mut self) -> Option<u64> {
+        self.stale.pop_first()
+    }
+
+    /// A record may not have been written.
+    pub fn again(&mut self, number: u64) {
+        self.urgent.insert(number);
+    }
+
+    /// The machines of a record, with their times.
+    pub fn members(&self, number: u64) -> impl Iterator<Item = (&String, u64)> {
+        self.records.get(&number).into_iter().flatten().map(|(host, at)| (host, *at))
+    }
+
+    /// A record's key.
+    pub fn key(number: u64) -> String {
+        roster_key(&format!("{}{number}", constants::ROSTER_RECORD_PREFIX))
+    }
+
+    /// The number of a record, from its key without the prefix `r/`; `None` for an entry of the
+    /// format in which each machine had a key of its own.
+    pub fn number(name: &str) -> Option<u64> {
+        name.strip_prefix(constants::ROSTER_RECORD_PREFIX)?.parse().ok()
+    }
+
+    /// What is written of a record. `images` says what a machine holds; without room for the hints
+    /// they are left out.
+    pub fn record<'a>(
+        &self,
+        number: u64,
+        value_kb: f64,
+        images: impl Fn(&str) -> Vec<(&'a str, f64)>,
+    ) -> Option<serde_json::Value> {
+        let mut record = RosterRecord::default();
+        let mut numbers: HashMap<&str, usize> = HashMap::new();
+        for (host, at_ms) in self.members(number) {
+            let held = images(host);
+            let newest = held.len().saturating_sub(constants::ROSTER_IMAGES);
+            let mut entry = RosterEntry { at_ms, images: Vec::new() };
+            for (name, gb) in &held[newest..] {
+                let next = numbers.len();
+                let n = *numbers.entry(name).or_insert(next);
+                if n == next {
+                    record.images.push(((*name).to_owned(), *gb));
+                }
+                entry.images.push(n);
+            }
+            record.hosts.insert(host.clone(), entry);
+        }
+        let value = serde_json::to_value(&record).ok()?;
+        if value.to_string().len() as f64 <= value_kb * 1024.0 {
+            return Some(value);
+        }
+        record.images.clear();
+        for entry in record.hosts.values_mut() {
+            entry.images.clear();
+        }
+        serde_json::to_value(&record).ok()
+    }
+}
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -4,6 +4,14 @@
 use hookway_wire::PieceState;
 use std::collections::HashMap;
 
+/// What is left of a job's turn after a round.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Left {
+    key: u64,
+    tasks: u32,
+    leftover: bool,
+}
+
 /// A world for the policy, with what its indexes stand for.
 pub(super) struct Scene {
     pub world: World,
@@ -27,26 +35,7 @@
 
     /// The world as the policy sees it.
     pub(super) fn scene(&self, now: u64) -> Scene {
-        let settled = self.settled(now);
-        let mut teams: Vec<TeamView> = self
-            .setup
-            .params
-            .teams
-            .iter()
-            .map(|t| TeamView {
-                used: Room::default(),
-                guaranteed: (t.cpus, t.gpus),
-                limit: (t.cpus_max, t.gpus_max),
-            })
-            .collect();
-        let stranger_somewhere = self.hosts.values().flat_map(|h| &h.held).any(|h| h.job.is_none());
-        for job in self.jobs.values() {
-            if let Some(team) = teams.get_mut(job.team) {
-                for _ in 0..job.held {
-                    team.used.give(&job.need);
-                }
-            }
-        }
+        let teams = self.teams();
         let mut index: HashMap<u64, usize> = HashMap::new();
         let mut keys = Vec::new();
         let mut jobs = Vec::new();
@@ -54,11 +43,7 @@
             if job.over.is_some() && job.held == 0 {
                 continue;
             }
-            let limited = teams.get(job.team).is_some_and(|t| t.limit.0 > 0.0 || t.limit.1 > 0.0);
-            // Until everything an earlier leader started is accounted for, a task of an older job
-            // may be on a machine that has not reported; so may unknown parts of a team's limit.
-            let unsure = !settled && (job.inherited || limited) || stranger_somewhere && limited;
-            let startable = if unsure || now < job.pause_until { 0 } else { self.startable(job) };
+            let startable = self.startable_now(job, now);
             index.insert(*key, jobs.len());
             keys.push(*key);
             jobs.push(self.view(job, startable));
@@ -88,6 +73,38 @@
         Scene { world, jobs: keys, hosts: names }
     }
 
+    /// The teams with what their tasks hold.
+    fn teams(&self) -> Vec<TeamView> {
+        let mut teams: Vec<TeamView> = self
+            .setup
+            .params
+            .teams
+            .iter()
+            .map(|t| TeamView {
+                used: Room::default(),
+                guaranteed: (t.cpus, t.gpus),
+                limit: (t.cpus_max, t.gpus_max),
+            })
+            .collect();
+        for job in self.jobs.values() {
+            if let Some(team) = teams.get_mut(job.team) {
+                team.used.give(&job.need.times(job.held));
+            }
+        }
+        teams
+    }
+
+    /// Tasks that may be started now.
+    fn startable_now(&self, job: &Job, now: u64) -> u32 {
+        let team = self.setup.params.teams.get(job.team);
+        let limited = team.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        // Until everything an earlier leader started is accounted for, a task of an older job may be
+        // on a machine that has not reported; so may unknown parts of a team's limit.
+        let unsure =
+            !self.settled(now) && (job.inherited || limited) || self.strangers > 0 && limited;
+        if unsure || now < job.pause_until { 0 } else { self.startable(job) }
+    }
+
     fn startable(&self, job: &Job) -> u32 {
         if !job.live() {
             return 0;
@@ -190,6 +207,76 @@
         })
     }
 
+    /// Least pause between two rounds, ms: what a round costs, as its share of the core allows it.
+    pub fn round_pause(&self) -> u64 {
+        let hosts = self.hosts.len() as f64;
+        let waiting = self.jobs.values().filter(|j| j.live() && !j.free.is_empty()).count() as f64;
+        let cost_ms =
+            hosts * (constants::ROUND_HOST_US + waiting * constants::ROUND_PAIR_US) / 1000.0;
+        let share = self.setup.params.machine_limits.core_share * constants::ROUND_CORE_SHARE;
+        ((cost_ms / share.max(0.001)) as u64)
+            .clamp(constants::ROUND_AT_REPORT_MS, constants::ROUND_PAUSE_MAX_MS)
+    }
+
+    /// Fills the free room of a machine that has just reported with what found none in the last
+    /// round, in its order. Leftovers whose image is there go before other leftovers.
+    pub(super) fn fill(&mut self, name: &str, now: u64) {
+        if self.left.is_empty() || self.kept_back.contains(name) {
+            return;
+        }
+        let Some(host) = self.hosts.get(name) else { return };
+        let taken = host.closing.is_some() || host.notice.is_some() || host.kept.is_some();
+        if taken
+            || !host.rostered
+            || now < host.pause_until
+            || !self.blocks.holds(name, &self.setup.label, now)
+        {
+            return;
+        }
+        let Some(flavor) = self.flavors.iter().position(|f| f.label == host.flavor) else { return };
+        let Some(yard) = self.setup.params.zone(&host.yard) else { return };
+        let loaner = host.loaner;
+        let (mut free, strangers) = self.free_room(host, Room::of_flavor(&self.flavors[flavor]));
+        if strangers {
+            return;
+        }
+        let images: Vec<u32> = host.images.iter().map(|(i, _)| *i).collect();
+        let mut left = std::mem::take(&mut self.left);
+        for with_image in [true, false] {
+            for turn in &mut left {
+                let Some(job) = self.jobs.get(&turn.key) else { continue };
+                let skipped = with_image && turn.leftover && !images.contains(&job.image);
+                if turn.tasks == 0 || skipped || !free.fits(&job.need) {
+                    continue;
+                }
+                let view = self.view(job, self.startable_now(job, now));
+                if !view.allows(flavor, yard, loaner) || !view.zone_open(yard) {
+                    continue;
+                }
+                let here = view.per_zone.get(yard).copied().unwrap_or(0);
+                let mut tasks = turn.tasks.min(view.startable).min(free.count(&view.need));
+                tasks = tasks.min(view.zone_cap.saturating_sub(here));
+                let limit = self.setup.params.teams.get(view.team);
+                if limit.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+                    && let Some(mut team) = self.teams().into_iter().nth(view.team)
+                {
+                    for (_, room) in self.reserved.iter().filter(|(t, _)| *t == view.team) {
+                        team.used.give(room);
+                    }
+                    tasks = tasks.min(team.allows(&view.need));
+                }
+                if tasks == 0 {
+                    continue;
+                }
+                turn.tasks -= tasks;
+                free.take(&view.need.times(tasks));
+                self.plan(turn.key, &vec![name.to_owned(); tasks as usize], now);
+            }
+        }
+        left.retain(|turn| turn.tasks > 0);
+        self.left = left;
+    }
+
     /// One scheduling round: stops what must stop, renews the blocks, places tasks, makes room.
     pub fn round(&mut self, now: u64) {
         self.last_round = now;
@@ -212,10 +299,25 @@
         for (key, least) in minimums {
             self.keep_minimum(key, least);
         }
+        self.left.clear();
+        self.kept_back.clear();
         if scene.world.jobs.iter().all(|j| j.startable == 0) {
             return;
         }
-        for placement in place(&mut scene.world) {
+        let placed = place(&mut scene.world);
+        let left = |t: &hookway_policy::Turn| Left {
+            key: scene.jobs[t.job],
+            tasks: t.tasks,
+            leftover: t.leftover,
+        };
+        self.left = placed.left.iter().map(left).collect();
+        self.reserved = placed.reserved;
+        for (name, view) in scene.hosts.iter().zip(&scene.world.hosts) {
+            if view.kept_for.is_some() {
+                self.kept_back.insert(name.clone());
+            }
+        }
+        for placement in placed.placements {
             let key = scene.jobs[placement.job];
             let hosts: Vec<String> =
                 placement.hosts.iter().map(|h| scene.hosts[*h].clone()).collect();
@@ -252,6 +354,7 @@
                 && job.slots.contains(&Slot::Free)
                 && (settled || !job.inherited);
             if partial {
+                self.stops_due |= !job.broken;
                 job.broken = true;
             }
         }
@@ -372,6 +475,7 @@
         let (piece, attempt) = (held.piece.clone(), held.attempt);
         let Some(job) = self.jobs.get(&key) else { return };
         let wind_down_s = if job.spec.saves() { job.spec.snapshot_s + 1.0 } else { 0.0 };
+        self.stops_due = true;
         let kill = Kill { wind_down_s, since: now };
         let gang = job.spec.is_gang();
         for host in self.hosts.values_mut() {
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -371,11 +371,11 @@
             ledger.set_flavors(flavors.as_ref().map(|f| f.to_vec()).unwrap_or_default());
             term.flavors_seen = flavors;
         }
-        if now >= term.last_round + constants::ROUND_EVERY_MS {
+        if now >= term.last_round + ledger.round_pause().max(constants::ROUND_EVERY_MS) {
             term.last_round = now;
             ledger.round(now);
         }
-        if now >= term.last_fleet + constants::FLEET_EVERY_MS {
+        if now >= term.last_fleet + constants::FLEET_EVERY_MS.max(2 * ledger.round_pause()) {
             term.last_fleet = now;
             for action in ledger.fleet_round(now) {
                 self.act(&mut term.helpers, &term.notes, action, &term.mandate);
@@ -385,7 +385,10 @@
             term.last_log = now;
             tracing::info!("{}", ledger.summary(now));
         }
-        if term.last_list.is_none_or(|l| now >= l + constants::CLOUD_LIST_EVERY_MS) {
+        // A long list takes time to read.
+        let list_every = constants::CLOUD_LIST_EVERY_MS
+            + constants::CLOUD_LIST_PER_HOST_MS * ledger.host_count() as u64;
+        if term.last_list.is_none_or(|l| now >= l + list_every) {
             term.last_list = Some(now);
             let (cloud, notes) = (self.cloud.clone(), term.notes.clone());
             let clock = self.clock;
--- a/crates/controller/src/records.rs
+++ b/crates/controller/src/records.rs
@@ -8,15 +8,18 @@
 //! | `f/<job>` | the final state of a job; written once, never changed |
 //! | `p/<job>/<chunk>` | which tasks of a job are done, as bits |
 //! | `m/<job>` | the job's minimum and mean task time (a hint for the next leader) |
-//! | `r/<machine>` | a machine that may have tasks |
-//! | `i/<machine>` | images that it holds (a hint for the next leader) |
+//! | `r/record-<n>` | machines that may have tasks, and the images they hold (a hint) |
+//!
+//! Version 0.1.0 had `r/<machine>` and `i/<machine>` instead; both are read, and replaced by records of
+//! many machines.
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use hookway_wire::{JobId, JobSpec, JobState, JobStatus};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
-/// Prefix of image records.
+/// Prefix of the image records of version 0.1.0.
 pub const IMAGES: &str = "i/";
 /// Who leads.
 pub const LEAD_NOW: &str = "lead/now";
@@ -84,6 +87,26 @@
     }
 }
 
+/// What `r/record-<n>` says of a machine.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// Time of day when it became known, ms.
+    pub at_ms: u64,
+    /// Images that it holds, as places in the record's list; least recently used first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub images: Vec<usize>,
+}
+
+/// Value of `r/record-<n>`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RosterRecord {
+    /// By machine.
+    pub hosts: BTreeMap<String, RosterEntry>,
+    /// Name and size in GB of the images that entries name.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub images: Vec<(String, f64)>,
+}
+
 /// Value of `i/<machine>`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ImagesRecord {
@@ -148,12 +171,7 @@
     format!("{MINIMUMS}{id}")
 }
 
-/// `i/<machine>`.
-pub fn images_key(host: &str) -> String {
-    format!("{IMAGES}{host}")
-}
-
-/// `r/<machine>`.
+/// `r/<name>`.
 pub fn roster_key(host: &str) -> String {
     format!("{ROSTER}{host}")
 }
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -6,7 +6,7 @@
 use hookway_controller::ledger::{
     CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal, lease_over_ms,
 };
-use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key, roster_key};
+use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
 use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker};
 use hookway_wire::{
     Cause, Change, Flavor, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order,
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Whether the roster in the store names the machine.
+    fn rostered(&self, host: &str) -> bool {
+        self.store.list("r/").iter().any(|kv| kv.v["hosts"].get(host).is_some())
+    }
+
     fn state(&self, id: &JobId) -> JobState {
         match self.ledger.status(id) {
             Lookup::Known(status) => status.status,
@@ -201,7 +206,7 @@
     assert_eq!(answer.orders, [], "a crash now must not hide a started task");
     w.take(&answer);
     play.flush();
-    assert!(play.store.get(&roster_key("m-1")).is_some());
+    assert!(play.rostered("m-1"));
     play.now += 500;
     assert_eq!(play.beat(&mut w).len(), 1);
 }
@@ -621,7 +626,7 @@
     }
     assert!(deleted.contains(&"m-1".to_owned()), "given up after several boot times");
     assert!(rented >= 2, "another one is rented in its place");
-    assert!(play.store.get(&roster_key("m-1")).is_none());
+    assert!(!play.rostered("m-1"));
 }
 
 #[test]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,7 +16,7 @@
 pub use fleet::{FleetPlan, Offer, Rent, plan_fleet};
 pub use minimum::{minimum, needs_rewrite, wanted};
 pub use order::{Turn, turns};
-pub use place::{Placement, fits_somewhere, place};
+pub use place::{Placed, Placement, fits_somewhere, place};
 pub use preempt::{Eviction, evict};
 pub use room::Room;
 pub use view::{HeldView, HostView, JobView, TeamView, World};
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -1,5 +1,5 @@
 use crate::preempt::worth_evicting;
-use crate::{HostView, JobView, Room, TeamView, World, turns};
+use crate::{HostView, JobView, Room, TeamView, Turn, World, turns};
 use hookway_constants as constants;
 
 /// Tasks of a job that are to start, one entry a task.
@@ -11,6 +11,17 @@
     pub hosts: Vec<usize>,
 }
 
+/// What a round decided.
+#[derive(Debug, Clone, Default)]
+pub struct Placed {
+    /// Tasks to start.
+    pub placements: Vec<Placement>,
+    /// What found no room of arrays' turns, in order.
+    pub left: Vec<Turn>,
+    /// What was set aside of teams' limits for gangs that wait.
+    pub reserved: Vec<(usize, Room)>,
+}
+
 /// Time until a machine has a job's image, s; 0 if it is thought to hold it.
 pub(crate) fn fetch_time(world: &World, job: &JobView, host: &HostView) -> f64 {
     if host.images.contains(&job.image) {
@@ -151,17 +162,20 @@
 
 /// One scheduling round: fills the machines' free room in the design's order. Quotas, zones and
 /// allowed machines are kept to; the world is updated with what was placed.
-pub fn place(world: &mut World) -> Vec<Placement> {
-    let mut all: Vec<Placement> = Vec::new();
-    let mut reserved: Vec<(usize, Room)> = Vec::new();
+pub fn place(world: &mut World) -> Placed {
+    let mut placed = Placed::default();
     let mut room_kept = false;
     for turn in turns(&world.jobs, world.now) {
         let hosts = place_job(world, turn.job, turn.tasks);
+        let job = &world.jobs[turn.job];
+        if !job.gang && (hosts.len() as u32) < turn.tasks.min(job.startable) {
+            let tasks = turn.tasks - hosts.len() as u32;
+            placed.left.push(Turn { tasks, ..turn });
+        }
         if !hosts.is_empty() {
-            all.push(Placement { job: turn.job, hosts });
+            placed.placements.push(Placement { job: turn.job, hosts });
             continue;
         }
-        let job = &world.jobs[turn.job];
         if !job.gang || turn.leftover {
             continue;
         }
@@ -170,12 +184,12 @@
         // once, whatever it is waiting for: else what was stopped for it would start anew;
         let whole = job.need.times(job.startable);
         let team_ix = job.team;
-        if reserved.iter().all(|(t, _)| *t != team_ix)
+        if placed.reserved.iter().all(|(t, _)| *t != team_ix)
             && let Some(team) = world.teams.get_mut(team_ix)
         {
             let short = team.allows(&whole) == 0;
             team.used.give(&whole);
-            reserved.push((team_ix, whole));
+            placed.reserved.push((team_ix, whole));
             if short {
                 continue;
             }
@@ -186,10 +200,10 @@
             room_kept = keep_room(world, turn.job);
         }
     }
-    for (team, whole) in reserved {
-        world.teams[team].used.take(&whole);
+    for (team, whole) in &placed.reserved {
+        world.teams[*team].used.take(whole);
     }
-    all
+    placed
 }
 
 /// Keeps machines for a waiting gang: those that would have room for it soonest.
@@ -333,22 +347,22 @@
     fn a_gang_starts_whole_or_not_at_all() {
         let gang = JobView { gang: true, ..job(3.0, 3) };
         let mut w = world(vec![gang.clone()], vec![host(0), host(1)]);
-        assert_eq!(place(&mut w), []);
+        assert_eq!(place(&mut w).placements, []);
         assert_eq!(w.hosts[0].free.cpus, 4.0, "nothing stays reserved");
         let mut w = world(vec![gang], vec![host(0), host(1), host(2)]);
-        assert_eq!(place(&mut w)[0].hosts.len(), 3);
+        assert_eq!(place(&mut w).placements[0].hosts.len(), 3);
     }
 
     #[test]
     fn together_stays_in_one_zone_and_spread_does_not() {
         let together = JobView { together: true, gang: true, ..job(3.0, 2) };
         let mut w = world(vec![together], vec![host(0), host(1), host(1)]);
-        assert_eq!(place(&mut w)[0].hosts, [1, 2]);
+        assert_eq!(place(&mut w).placements[0].hosts, [1, 2]);
         let spread = JobView { zone_cap: 3, gang: true, ..job(1.0, 5) };
         let mut w = world(vec![spread.clone()], vec![host(0), host(0)]);
-        assert_eq!(place(&mut w), []);
+        assert_eq!(place(&mut w).placements, []);
         let mut w = world(vec![spread], vec![host(0), host(1)]);
-        let placed = place(&mut w).remove(0).hosts;
+        let placed = place(&mut w).placements.remove(0).hosts;
         assert_eq!(placed.len(), 5);
         assert!(placed.iter().filter(|h| **h == 0).count() <= 3);
         assert!(placed.iter().filter(|h| **h == 1).count() <= 3);
@@ -358,11 +372,11 @@
     fn quotas_zones_and_kinds_are_kept() {
         let mut w = world(vec![job(1.0, 10)], vec![host(0), host(1)]);
         w.teams[0].limit = (3.0, 0.0);
-        assert_eq!(place(&mut w).iter().map(|p| p.hosts.len()).sum::<usize>(), 3);
+        assert_eq!(place(&mut w).placements.iter().map(|p| p.hosts.len()).sum::<usize>(), 3);
         let picky = JobView { yard: Some(1), loaners: false, ..job(1.0, 10) };
         let spot = HostView { loaner: true, ..host(1) };
         let mut w = world(vec![picky], vec![host(0), spot, host(1)]);
-        let placed = place(&mut w);
+        let placed = place(&mut w).placements;
         assert!(placed.iter().flat_map(|p| &p.hosts).all(|h| *h == 2));
         assert_eq!(placed.iter().map(|p| p.hosts.len()).sum::<usize>(), 4);
     }
@@ -375,7 +389,7 @@
         let mut w = world(vec![gang.clone(), array.clone()], vec![host(0), host(1)]);
         w.teams[0].limit = (6.0, 0.0);
         w.teams[0].used.cpus = 4.0;
-        assert_eq!(place(&mut w), []);
+        assert_eq!(place(&mut w).placements, []);
         // Room: the gang needs 4 CPUs on each of two machines that have 1 free each.
         let gang = JobView { gang: true, ..job(4.0, 2) };
         let mut busy = [host(0), host(1)];
@@ -384,17 +398,17 @@
         }
         let mut w = world(vec![gang, array], busy.to_vec());
         w.now = 1.0;
-        assert_eq!(place(&mut w).len(), 1, "at first what is free is used");
+        assert_eq!(place(&mut w).placements.len(), 1, "at first what is free is used");
         let mut w = world(w.jobs.clone(), busy.to_vec());
         w.now = 20.0;
-        assert_eq!(place(&mut w), [], "later it is kept for the gang");
+        assert_eq!(place(&mut w).placements, [], "later it is kept for the gang");
     }
 
     #[test]
     fn machines_that_hold_the_image_are_preferred() {
         let warm = HostView { images: vec![1], ..host(1) };
         let mut w = world(vec![job(1.0, 1)], vec![host(0), warm]);
-        assert_eq!(place(&mut w)[0].hosts, [1]);
+        assert_eq!(place(&mut w).placements[0].hosts, [1]);
     }
 
     #[test]
