--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use hookway_constants as constants;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
@@ -11,6 +12,9 @@
     /// No answer within the time limit. The request may have been carried out, or may be later.
     #[error("no answer in time")]
     Timeout,
+    /// No connection came about, so nothing was sent.
+    #[error("no connection: {0}")]
+    NotSent(String),
     /// The connection failed. The request may have been carried out.
     #[error("connection failed: {0}")]
     Connection(String),
@@ -31,6 +35,7 @@
     pub fn new(address: &str) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(constants::CONNECT_TIMEOUT_MS)));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(10))
@@ -60,11 +65,10 @@
             .body(Full::new(Bytes::from(body.unwrap_or_default())))
             .map_err(|e| HttpError::Request(e.to_string()))?;
         let work = async {
-            let response = self
-                .client
-                .request(request)
-                .await
-                .map_err(|e| HttpError::Connection(e.to_string()))?;
+            let response = self.client.request(request).await.map_err(|e| {
+                let text = e.to_string();
+                if e.is_connect() { HttpError::NotSent(text) } else { HttpError::Connection(text) }
+            })?;
             let status = response.status();
             let body = response
                 .into_body()
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -14,4 +14,4 @@
 pub use cloud::{CloudClient, CloudError, RentOutcome};
 pub use http::{HttpClient, HttpError};
 pub use store::{CommitOutcome, StoreClient, StoreError};
-pub use worker::WorkerClient;
+pub use worker::{Delivery, WorkerClient};
--- a/crates/clients/src/worker.rs
+++ b/crates/clients/src/worker.rs
@@ -1,12 +1,24 @@
-use crate::HttpClient;
+use crate::{HttpClient, HttpError};
 use hookway_constants as constants;
-use hookway_wire::DirectOrders;
-use hyper::Method;
+use hookway_wire::{CheckIn, DirectOrders};
+use hyper::{Method, StatusCode};
 use std::time::Duration;
 
-/// A client of the workers, for commands that do not wait for a report. Only commands to stop are
-/// sent this way: one that arrives minutes late stops an attempt that must be gone anyway, while a
-/// start could run a task twice.
+/// What became of commands that were sent straight to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Delivery {
+    /// Carried out; the worker's report after them.
+    Done(CheckIn),
+    /// Surely not carried out, now or later: the worker has a higher token or another session.
+    Refused,
+    /// Surely not sent.
+    NotSent,
+    /// They may have been carried out, or may be later.
+    Unclear,
+}
+
+/// A client of the workers, for commands that do not wait for a report. One that is under way may
+/// arrive minutes late, or twice; the ledger sees to it that a late start finds a higher token.
 #[derive(Debug, Clone)]
 pub struct WorkerClient {
     http: HttpClient,
@@ -19,14 +31,31 @@
 }
 
 impl WorkerClient {
-    /// Sends commands to the worker at `address`. Whether they arrived shows in its next report.
-    pub async fn send(&self, address: &str, orders: &DirectOrders) {
-        let Ok(body) = serde_json::to_vec(orders) else { return };
+    /// Sends commands to the worker at `address`.
+    pub async fn send(&self, address: &str, orders: &DirectOrders) -> Delivery {
+        let Ok(body) = serde_json::to_vec(orders) else { return Delivery::NotSent };
         let limit = Duration::from_millis(constants::WORKER_TIMEOUT_MS);
         match self.http.at(address).exchange(Method::POST, "/orders", Some(body), limit).await {
-            Ok((status, _)) if status.is_success() => {}
-            Ok((status, _)) => tracing::debug!("worker at {address}: {status}"),
-            Err(e) => tracing::debug!("worker at {address}: {e}"),
+            Ok((StatusCode::OK, body)) => match serde_json::from_slice(&body) {
+                Ok(report) => Delivery::Done(report),
+                Err(e) => {
+                    tracing::error!("worker at {address}: its report can't be read: {e}");
+                    Delivery::Unclear
+                }
+            },
+            Ok((StatusCode::CONFLICT | StatusCode::BAD_REQUEST, _)) => Delivery::Refused,
+            Ok((status, _)) => {
+                tracing::debug!("worker at {address}: {status}");
+                Delivery::Unclear
+            }
+            Err(HttpError::NotSent(e)) => {
+                tracing::debug!("worker at {address}: {e}");
+                Delivery::NotSent
+            }
+            Err(e) => {
+                tracing::debug!("worker at {address}: {e}");
+                Delivery::Unclear
+            }
         }
     }
 }
--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -56,6 +56,21 @@
 /// Share of the cloud's request rate that the leader uses. A deposed leader may still have calls
 /// under way.
 pub const CLOUD_RATE_SHARE: f64 = 0.7;
+/// Time limit for a connection to come about, ms. A machine that is gone must show soon, and what was
+/// never sent needs no proof that it won't arrive.
+pub const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Tokens that one term may use: the term's own, and a higher one for a machine after each start that
+/// was sent straight to it. Leaves room for 2^24 terms in an attempt number.
+pub const TOKENS_PER_TERM: u64 = 4_096;
+/// Starts sent straight to workers at a time, in messages. Bounds sockets and bursts of work.
+pub const DIRECT_AT_MOST: usize = 48;
+/// Tasks in one such message.
+pub const DIRECT_TASKS: usize = 64;
+/// A worker that was given commands in an answer reports again within this, ms (protocol: half a
+/// second at least between reports): starts wait for that report's answer.
+pub const REPORT_SOON_MS: u64 = 800;
+/// A machine that could not be reached takes nothing new for this long, ms.
+pub const UNREACHED_PAUSE_MS: u64 = 4_000;
 /// Time limit for commands sent straight to a worker, ms. What is lost goes with the next report.
 pub const WORKER_TIMEOUT_MS: u64 = 1_500;
 /// Pause between two readings of the machine list, ms.
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -220,7 +220,10 @@
                 return self.pause(constants::LEADER_RETRY_MS).await;
             }
         };
-        let record = LeadRecord { label: self.label.clone(), term: term + 1, nonce };
+        // Each term has a range of tokens of its own; the record holds the last one that may be in
+        // use.
+        let (first, last) = (term + 1, term + constants::TOKENS_PER_TERM);
+        let record = LeadRecord { label: self.label.clone(), term: first, nonce };
         let Ok(value) = serde_json::to_value(&record) else { return };
         let transaction = Transaction {
             guards: vec![
@@ -229,7 +232,7 @@
             ],
             apply: vec![
                 Change::Put { put: LEAD_NOW.into(), v: value, permit: Some(permit) },
-                Change::put(LEAD_TERM, serde_json::json!(term + 1)),
+                Change::put(LEAD_TERM, serde_json::json!(last)),
             ],
         };
         match self.store.commit(&transaction).await {
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -1,4 +1,5 @@
 use super::{Ended, Held, Host, Job, Ledger, Phase, Slot, lease_over_ms};
+use hookway_clients::Delivery;
 use hookway_constants as constants;
 use hookway_wire::{
     Cause, CheckIn, CheckInAnswer, DirectOrders, Order, PieceReport, PieceState, TaskId,
@@ -26,20 +27,27 @@
         if self.buried.contains(name) {
             return None;
         }
-        let stamp = (report.tenure, report.tick);
         if !self.hosts.contains_key(name) {
             tracing::info!("machine {name}: first report ({}, {})", report.flavor, report.yard);
             self.hosts.insert(name.to_owned(), Host::new(now));
         }
         self.expire_if_silent(name, now);
         let host = self.hosts.get_mut(name)?;
+        let stamp = (report.tenure, report.tick);
         // Reports can arrive minutes late; only a newer one may change the picture. A session whose
         // lease has surely run out can't be heard from again: such a report is late, whatever its
         // number.
-        if stamp <= host.newest || report.tenure <= host.dead_tenure {
+        if stamp <= host.reported
+            || report.tenure < host.newest.0
+            || report.tenure <= host.dead_tenure
+        {
             tracing::debug!("machine {name}: old report {stamp:?}, newest is {:?}", host.newest);
             return None;
         }
+        host.reported = stamp;
+        // The worker sent this one before it answered commands that came straight to it: what it says
+        // is out of date, but the worker waits for an answer.
+        let overtaken = stamp < host.newest;
         let new_session = host.heard && report.tenure > host.newest.0;
         if !host.heard {
             tracing::info!(
@@ -48,12 +56,14 @@
             );
         }
         host.heard = true;
-        host.newest = stamp;
-        host.addr.clone_from(&report.addr);
-        host.flavor.clone_from(&report.flavor);
-        host.yard.clone_from(&report.yard);
-        host.loaner = report.loaners;
-        host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
+        if !overtaken {
+            host.newest = stamp;
+            host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
+            host.addr.clone_from(&report.addr);
+            host.flavor.clone_from(&report.flavor);
+            host.yard.clone_from(&report.yard);
+            host.loaner = report.loaners;
+        }
         if !host.rostered {
             let at_ms = self.wall_at(now);
             self.writer.roster.want(name, at_ms);
@@ -68,7 +78,9 @@
             tracing::info!("machine {name}: session {}, its tasks are gone", report.tenure);
             self.clear_host(name, now, Leave::Lost);
         }
-        self.take_report(name, report, now);
+        if !overtaken {
+            self.take_report(name, report, now, false);
+        }
         if let Some(host) = self.hosts.get_mut(name) {
             host.last_answer = now;
         }
@@ -79,11 +91,118 @@
             self.fill(name, now);
         }
         let orders = self.orders_for(name, now);
-        Some(CheckInAnswer { baton: self.term, orders })
+        let host = self.hosts.get_mut(name)?;
+        host.soon = if orders.is_empty() { 0 } else { now + constants::REPORT_SOON_MS };
+        Some(CheckInAnswer { baton: self.term + host.bump, orders })
+    }
+
+    /// Starts that should not wait for their workers' next reports: machine, address and commands. The
+    /// outcome comes with [`Ledger::delivered`].
+    ///
+    /// Such a command may arrive late, or twice, and after `reap` a second arrival would start the
+    /// task again. So the machine's token rises with each: every later answer, and with it every
+    /// `reap`, carries a higher one, after which the worker refuses the command.
+    pub fn take_direct(&mut self, now: u64) -> Vec<(String, String, DirectOrders)> {
+        let mut sends = Vec::new();
+        let names: Vec<String> = self.planned_on.iter().cloned().collect();
+        for name in names {
+            if self.directs + sends.len() >= constants::DIRECT_AT_MOST {
+                break;
+            }
+            let Some(host) = self.hosts.get(&name) else {
+                self.planned_on.remove(&name);
+                continue;
+            };
+            if host.direct || !host.rostered || now < host.soon {
+                continue;
+            }
+            self.planned_on.remove(&name);
+            let able = host.heard
+                && !host.addr.is_empty()
+                && host.closing.is_none()
+                && host.notice.is_none()
+                && host.bump + 1 < constants::TOKENS_PER_TERM;
+            if !able {
+                continue;
+            }
+            let chosen: Vec<usize> = (0..host.held.len())
+                .filter(|i| {
+                    let h = &host.held[*i];
+                    let job = h.job.and_then(|k| self.jobs.get(&k));
+                    h.phase == Phase::Planned
+                        && self.must_stop(h, now).is_none()
+                        && job.is_some_and(|j| !j.strays.contains(&h.index))
+                })
+                .take(constants::DIRECT_TASKS)
+                .collect();
+            if chosen.is_empty() {
+                continue;
+            }
+            let Some(host) = self.hosts.get_mut(&name) else { continue };
+            let token = self.term + host.bump;
+            host.bump += 1;
+            host.direct = true;
+            let mut orders = Vec::with_capacity(chosen.len());
+            for i in chosen {
+                let held = &mut host.held[i];
+                held.phase = Phase::Pushed(token);
+                orders.push(Order::Run { piece: held.piece.clone(), r#try: held.attempt });
+            }
+            let orders = DirectOrders { baton: token, tenure: host.newest.0, orders };
+            sends.push((name, host.addr.clone(), orders));
+        }
+        self.directs += sends.len();
+        sends
+    }
+
+    /// What became of starts that were sent straight to a worker under `token`.
+    pub fn delivered(&mut self, name: &str, token: u64, delivery: Delivery, now: u64) {
+        self.directs = self.directs.saturating_sub(1);
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        host.direct = false;
+        match delivery {
+            Delivery::Done(report) => {
+                let stamp = (report.tenure, report.tick);
+                // Only of the session that was addressed; it renews no lease.
+                if report.host == name
+                    && report.tenure == host.newest.0
+                    && report.tenure > host.dead_tenure
+                    && stamp > host.newest
+                {
+                    host.newest = stamp;
+                    self.take_report(name, &report, now, true);
+                }
+            }
+            Delivery::Refused => self.not_started(name, token),
+            Delivery::NotSent => {
+                self.not_started(name, token);
+                if let Some(host) = self.hosts.get_mut(name) {
+                    host.pause_until = now + constants::UNREACHED_PAUSE_MS;
+                }
+                tracing::debug!("machine {name}: can't be reached");
+                self.unplan_all(name, now);
+            }
+            Delivery::Unclear => {
+                host.pause_until = now + constants::UNREACHED_PAUSE_MS;
+                self.unplan_all(name, now);
+            }
+        }
+    }
+
+    /// Starts that were sent under `token` surely won't arrive any more.
+    fn not_started(&mut self, name: &str, token: u64) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        for held in host.held.iter_mut().filter(|h| h.phase == Phase::Pushed(token)) {
+            held.phase = Phase::Planned;
+        }
+        self.planned_on.insert(name.to_owned());
     }
 
     /// Brings the picture of a machine in line with a newer report.
-    fn take_report(&mut self, name: &str, report: &CheckIn, now: u64) {
+    ///
+    /// A `direct` one answered commands that came straight to the worker: an answer to a report may
+    /// have been on its way to it at that moment.
+    fn take_report(&mut self, name: &str, report: &CheckIn, now: u64, direct: bool) {
         self.count_running(name, false);
         let Some(host) = self.hosts.get_mut(name) else { return };
         let before = std::mem::take(&mut host.held);
@@ -139,7 +258,18 @@
                 // takes no answer to an earlier one: a newer report without the task proves that
                 // the command did not arrive and never will.
                 Phase::Sent => {
-                    held.phase = Phase::Planned;
+                    if !direct {
+                        held.phase = Phase::Planned;
+                        self.planned_on.insert(name.to_owned());
+                    }
+                    keep.push(held);
+                }
+                // Under a higher token the worker refuses the command, whenever it arrives.
+                Phase::Pushed(token) => {
+                    if report.baton > token {
+                        held.phase = Phase::Planned;
+                        self.planned_on.insert(name.to_owned());
+                    }
                     keep.push(held);
                 }
                 Phase::On(_) => left.push((held, Leave::Lost)),
@@ -482,11 +612,26 @@
                 });
             }
             let tenure = host.newest.0;
-            pushes.push((host.addr.clone(), DirectOrders { baton: self.term, tenure, orders }));
+            let baton = self.term + host.bump;
+            pushes.push((host.addr.clone(), DirectOrders { baton, tenure, orders }));
         }
         pushes
     }
 
+    /// Drops all starts on a machine that were never sent.
+    fn unplan_all(&mut self, name: &str, now: u64) {
+        let Some(host) = self.hosts.get(name) else { return };
+        let planned: Vec<(String, u64)> = host
+            .held
+            .iter()
+            .filter(|h| h.phase == Phase::Planned)
+            .map(|h| (h.piece.clone(), h.attempt))
+            .collect();
+        for (piece, attempt) in planned {
+            self.unplan(name, &piece, attempt, now);
+        }
+    }
+
     /// Drops a start that was never sent.
     pub(super) fn unplan(&mut self, name: &str, piece: &str, attempt: u64, now: u64) {
         let Some(host) = self.hosts.get_mut(name) else { return };
@@ -546,15 +691,7 @@
                 host.kept = None;
             }
             if now >= host.last_answer + quiet {
-                let planned: Vec<(String, u64)> = host
-                    .held
-                    .iter()
-                    .filter(|h| h.phase == Phase::Planned)
-                    .map(|h| (h.piece.clone(), h.attempt))
-                    .collect();
-                for (piece, attempt) in planned {
-                    self.unplan(&name, &piece, attempt, now);
-                }
+                self.unplan_all(&name, now);
             }
         }
     }
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -22,7 +22,7 @@
 use commit::Writer;
 use hookway_constants as constants;
 use hookway_wire::{Flavor, Guard, JobId, JobState, JobStatus, KeyValue};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// What does not change while a node leads.
 #[derive(Debug, Clone)]
@@ -147,6 +147,10 @@
     kept_back: HashSet<String>,
     /// Tasks on machines that belong to no job in this ledger.
     strangers: usize,
+    /// Machines with starts that no worker was told of yet.
+    planned_on: BTreeSet<String>,
+    /// Messages with starts that are under way straight to workers.
+    directs: usize,
     /// Some task may have to be stopped that its worker was not told about.
     stops_due: bool,
     /// When this leader won, ms.
@@ -212,6 +216,8 @@
             reserved: Vec::new(),
             kept_back: HashSet::new(),
             strangers: 0,
+            planned_on: BTreeSet::new(),
+            directs: 0,
             stops_due: false,
             won_at: at.now,
             told: at,
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -230,6 +230,9 @@
     /// The command went out in the answer to the worker's last report. The next report tells whether
     /// it arrived.
     Sent,
+    /// The command was sent straight to the worker under this token, and its outcome is not known. It
+    /// may arrive until the worker has seen a higher token.
+    Pushed(u64),
     /// The worker has it.
     On(PieceState),
 }
@@ -298,6 +301,14 @@
     pub heard: bool,
     /// Newest message: session and sequence number.
     pub newest: (u64, u64),
+    /// Newest report that it sent by itself: session and sequence number.
+    pub reported: (u64, u64),
+    /// Added to the term to make its token: raised with each start that is sent straight to it.
+    pub bump: u64,
+    /// A start is under way to it.
+    pub direct: bool,
+    /// Its next report is expected before this, ms.
+    pub soon: u64,
     /// Sessions up to this one are surely over.
     pub dead_tenure: u64,
     /// Last time when anyone entitled could have answered its worker, ms.
@@ -344,6 +355,10 @@
             addr: String::new(),
             heard: false,
             newest: (0, 0),
+            reported: (0, 0),
+            bump: 0,
+            direct: false,
+            soon: 0,
             dead_tenure: 0,
             last_answer: now,
             rostered: false,
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -451,6 +451,7 @@
             if let Some(zone) = self.setup.params.zone(&host.yard) {
                 job.per_zone[zone] += 1;
             }
+            self.planned_on.insert(name.clone());
             host.idle_since = None;
             host.kept = host.kept.filter(|(k, _)| *k != key);
             host.held.push(Held {
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -7,7 +7,8 @@
 };
 use crate::records::{IMAGES, JOBS, MINIMUMS, PROGRESS, ROSTER};
 use hookway_clients::{
-    CloudClient, CloudError, CommitOutcome, RentOutcome, StoreClient, StoreError, WorkerClient,
+    CloudClient, CloudError, CommitOutcome, Delivery, RentOutcome, StoreClient, StoreError,
+    WorkerClient,
 };
 use hookway_constants as constants;
 use hookway_wire::{CheckIn, CheckInAnswer, Event, Flavor, JobId, ListedHost, RentRequest};
@@ -50,6 +51,7 @@
     Rented(RentRequest, Option<Vec<String>>),
     Deleted(Vec<String>, bool),
     Listed(Vec<ListedHost>, u64),
+    Delivered(String, u64, Delivery),
     Reload,
 }
 
@@ -313,6 +315,11 @@
                     ledger.delete_failed(&names);
                 }
             }
+            Note::Delivered(host, token, delivery) => {
+                if let Some(ledger) = &mut term.ledger {
+                    ledger.delivered(&host, token, delivery, at.now);
+                }
+            }
             Note::Listed(list, asked) => {
                 if let Some(ledger) = &mut term.ledger {
                     ledger.listed(&list, asked, at.now);
@@ -330,7 +337,14 @@
         let Some(ledger) = term.ledger.as_mut() else { return };
         for (address, orders) in ledger.take_pushes(now) {
             let workers = self.workers.clone();
-            term.helpers.spawn(async move { workers.send(&address, &orders).await });
+            term.helpers.spawn(async move { drop(workers.send(&address, &orders).await) });
+        }
+        for (host, address, orders) in ledger.take_direct(now) {
+            let (workers, notes) = (self.workers.clone(), term.notes.clone());
+            term.helpers.spawn(async move {
+                let delivery = workers.send(&address, &orders).await;
+                let _ = notes.send(Note::Delivered(host, orders.baton, delivery)).await;
+            });
         }
         let Some(commit) = ledger.next_commit(now) else { return };
         let (store, notes) = (self.store.clone(), term.notes.clone());
--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -55,7 +55,8 @@
         m = async { one.view.wait_for(|v| v.mandate.as_ref().is_some_and(|m| m.term > 1)).await
             .expect("the actor lives").mandate.clone().expect("just seen") } => m,
     };
-    assert_eq!(second.term, 2);
+    // Above every token that the first one may have used, each machine's own ones included.
+    assert_eq!(second.term, 1 + hookway_constants::TOKENS_PER_TERM);
     // What the deposed leader still has under way is guarded by a version that is gone.
     let late = Transaction {
         guards: vec![first.guard],
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -2,6 +2,7 @@
 //! moves. Each test names the failure that it guards against.
 #![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
 
+use hookway_clients::Delivery;
 use hookway_controller::config::{OperatorSettings, Settings};
 use hookway_controller::ledger::{
     CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal, lease_over_ms,
@@ -679,3 +680,138 @@
     };
     assert_eq!(play.store.commit(&again), Err(vec![final_key(&id)]));
 }
+
+/// A machine that is up, quiet, and has just been given a task.
+fn with_a_direct_start(play: &mut Play, w: &mut ScriptedWorker) -> hookway_wire::DirectOrders {
+    play.settle(&mut [w]);
+    play.submit(job("req-000001", "array", 1));
+    play.wait(1_000);
+    let (host, _, orders) = play.ledger.take_direct(play.now).pop().expect("a start");
+    assert_eq!(host, "m-1");
+    orders
+}
+
+#[test]
+fn a_start_goes_straight_to_a_quiet_machine() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    let orders = with_a_direct_start(&mut play, &mut w);
+    let report = w.orders(&orders).expect("carried out");
+    play.ledger.delivered("m-1", orders.baton, Delivery::Done(report), play.now);
+    assert_eq!(w.live(), ["req-000001/0"]);
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.started.len(), 1);
+    assert_eq!(play.state(&JobId::parse("req-000001").expect("an id")), JobState::Running);
+}
+
+#[test]
+fn a_copy_of_a_direct_start_does_not_run_the_task_again() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    let orders = with_a_direct_start(&mut play, &mut w);
+    let report = w.orders(&orders).expect("carried out");
+    // The task ends, and its report comes before the answer to the command is read.
+    w.end("req-000001/0", Cause::Done);
+    play.settle(&mut [&mut w]);
+    play.ledger.delivered("m-1", orders.baton, Delivery::Done(report), play.now);
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live().len() + w.report().pieces.len(), 0, "done, and forgotten by the worker");
+    // After `reap` the worker would start the attempt again: only its higher token keeps it off.
+    assert_eq!(w.orders(&orders), None);
+    assert_eq!(w.started.len(), 1);
+}
+
+#[test]
+fn a_direct_start_without_an_answer_holds_its_place_until_it_can_not_arrive_any_more() {
+    let mut play = Play::start();
+    let (mut w, mut other) = (small("m-1", "a"), small("m-2", "a"));
+    let orders = with_a_direct_start(&mut play, &mut w);
+    // No answer comes: the command may lie in the network for minutes.
+    play.ledger.delivered("m-1", orders.baton, Delivery::Unclear, play.now);
+    play.settle(&mut [&mut other]);
+    assert_eq!(other.started, [], "it may still start on m-1");
+    // The next answer raises the token of m-1, and the report after it proves that.
+    play.beat(&mut w);
+    assert!(w.baton > orders.baton);
+    play.settle(&mut [&mut other]);
+    assert_eq!(other.started, [], "the worker had not seen the higher token when it reported");
+    play.now += 5_000;
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.orders(&orders), None, "the late command is refused");
+    assert_eq!(w.started.len() + other.started.len(), 1);
+}
+
+#[test]
+fn a_start_that_was_never_sent_goes_elsewhere_at_once() {
+    let mut play = Play::start();
+    let (mut w, mut other) = (small("m-1", "a"), small("m-2", "a"));
+    let orders = with_a_direct_start(&mut play, &mut w);
+    play.ledger.delivered("m-1", orders.baton, Delivery::NotSent, play.now);
+    play.settle(&mut [&mut other]);
+    assert_eq!(
+        other.live(),
+        ["req-000001/0"],
+        "a machine that can't be reached keeps nobody waiting"
+    );
+}
+
+#[test]
+fn a_report_that_was_overtaken_by_a_direct_start_is_answered_and_settles_nothing() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    let orders = with_a_direct_start(&mut play, &mut w);
+    // The worker reports just before the command arrives; the report comes after its answer.
+    let late = w.report();
+    let report = w.orders(&orders).expect("carried out");
+    play.ledger.delivered("m-1", orders.baton, Delivery::Done(report), play.now);
+    let answer = play.ledger.check_in(&late, play.now).expect("the worker waits for it");
+    w.take(&answer);
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.started.len(), 1, "the task that the report lacks is still there");
+    assert_eq!(play.ledger.check_in(&late, play.now), None, "a copy of it is not answered");
+}
+
+#[test]
+fn an_answer_on_its_way_is_not_taken_for_lost_because_a_direct_report_lacks_its_start() {
+    let mut play = Play::start();
+    let (mut w, mut other) = (small("m-1", "a"), small("m-2", "a"));
+    play.settle(&mut [&mut w]);
+    play.submit(job("req-000001", "array", 1));
+    play.wait(1_000);
+    // The start goes out in an answer that is slow on its way; meanwhile a command that came straight
+    // to the worker is answered with a report that lacks it.
+    let report = w.report();
+    let answer = play.ledger.check_in(&report, play.now).expect("an answer");
+    assert_eq!(answer.orders.len(), 1);
+    let between = w.report();
+    play.ledger.delivered("m-1", 1, Delivery::Done(between), play.now);
+    for _ in 0..6 {
+        play.beat(&mut other);
+        play.wait(800);
+    }
+    assert_eq!(other.started, [], "the answer may still arrive");
+    w.take(&answer);
+    play.settle(&mut [&mut w, &mut other]);
+    assert_eq!((w.started.len(), other.started.len()), (1, 0));
+}
+
+#[test]
+fn machines_share_roster_records_and_older_entries_move_into_them() {
+    let mut store = MemoryStore::default();
+    // Records of version 0.1.0.
+    store.put("r/m-1", serde_json::json!({ "term": 1, "at_ms": 999_000 }));
+    store.put("i/m-1", serde_json::json!({ "images": [["img", 1.0]] }));
+    let mut play = Play::lead(store, 2, 0);
+    assert!(!play.ledger.settled(0), "m-1 may have tasks");
+    let mut many: Vec<ScriptedWorker> = (1..=60).map(|n| small(&format!("m-{n}"), "a")).collect();
+    let mut refs: Vec<&mut ScriptedWorker> = many.iter_mut().collect();
+    play.settle(&mut refs);
+    assert!((1..=60).all(|n| play.rostered(&format!("m-{n}"))));
+    assert!(play.store.list("r/").len() <= 2, "one change in the store for dozens of machines");
+    assert!(play.store.get("i/m-1").is_none() && play.store.get("r/m-1").is_none());
+    // The next leader knows them all, and the image of the first.
+    let next = Play::lead(play.store.clone(), 3, 50_000);
+    assert_eq!(next.ledger.host_count(), 60);
+    let record = next.store.list("r/").remove(0).v;
+    assert_eq!(record["images"][0][0], "img");
+}
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -1,4 +1,4 @@
-use hookway_wire::{Cause, CheckIn, CheckInAnswer, Order, PieceReport, PieceState};
+use hookway_wire::{Cause, CheckIn, CheckInAnswer, DirectOrders, Order, PieceReport, PieceState};
 
 /// A worker that carries out commands as the protocol says, and whose tasks change state when the
 /// test says so. It counts what must never happen.
@@ -78,6 +78,15 @@
         true
     }
 
+    /// Commands come straight to it. The report after them, or `None` if it refuses them.
+    pub fn orders(&mut self, orders: &DirectOrders) -> Option<CheckIn> {
+        if orders.tenure != self.report.tenure || orders.baton < self.baton {
+            return None;
+        }
+        self.take(&CheckInAnswer { baton: orders.baton, orders: orders.orders.clone() });
+        Some(self.report())
+    }
+
     fn find(&self, piece: &str, attempt: u64) -> Option<usize> {
         self.report.pieces.iter().position(|p| p.piece == piece && p.r#try == attempt)
     }
