--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -101,18 +101,19 @@
         .fold(0u32, |n, h| n.saturating_add(h.free.count(&job.need)))
 }
 
-/// Whether each machine with room for the job would have to fetch its image first. Once machines
-/// are being cleared for it, it takes what it can get.
-fn waits_for_image(world: &World, job_ix: usize) -> bool {
+/// Whether a gang that found room on these machines should rather wait a moment. It starts together,
+/// so one missing image keeps all of it waiting: where machines that hold the image are being
+/// cleared for it, or can be cleared at less cost, that is the earlier start.
+fn better_cleared(world: &World, job_ix: usize, hosts: &[usize]) -> bool {
     let job = &world.jobs[job_ix];
-    let clearing = world.hosts.iter().any(|h| h.kept_for == Some(job_ix));
-    let mut fetches = world
-        .hosts
-        .iter()
-        .filter(|h| usable(job_ix, job, h))
-        .map(|h| fetch_time(world, job, h))
-        .peekable();
-    !clearing && fetches.peek().is_some() && fetches.all(|s| s > 0.0)
+    let fetch = hosts.iter().map(|h| fetch_time(world, job, &world.hosts[*h])).fold(0.0, f64::max);
+    if fetch <= 0.0 {
+        return false;
+    }
+    let clearing =
+        world.hosts.iter().any(|h| h.kept_for == Some(job_ix) && fetch_time(world, job, h) <= 0.0);
+    let whole = job.need.cpus * f64::from(job.pieces);
+    clearing || worth_evicting(world, job_ix, fetch * whole)
 }
 
 /// Places up to `tasks` tasks of an array, or all of a gang; the world is updated.
@@ -125,11 +126,6 @@
         return Vec::new();
     }
     let gang = job.gang;
-    // A gang starts together, so one missing image keeps all of it waiting. Where it may push work
-    // aside on machines that hold the image, that can be the earlier start.
-    if gang && waits_for_image(world, job_ix) && worth_evicting(world, job_ix) {
-        return Vec::new();
-    }
     // A job that has to be in one zone: the one where most of it finds room, unless it is in one.
     let zone = if job.together && job.per_zone.iter().all(|n| *n == 0) {
         let best = (0..zones(world)).max_by_key(|z| room_in(world, job_ix, *z));
@@ -148,14 +144,25 @@
         put(world, job_ix, host);
         hosts.push(host);
     }
-    if let Some((job, teams)) = before
-        && (hosts.len() as u32) < tasks
-    {
-        for host in hosts.drain(..) {
-            world.hosts[host].free.give(&job.need);
+    if let Some((job, teams)) = before {
+        // What was free before the gang was laid out, for a second look at it.
+        let undo = |world: &mut World| {
+            for host in &hosts {
+                world.hosts[*host].free.give(&job.need);
+            }
+        };
+        let whole = hosts.len() as u32 == tasks;
+        undo(world);
+        let laid_out = std::mem::replace(&mut world.jobs[job_ix], job);
+        let used = std::mem::replace(&mut world.teams, teams);
+        if !whole || better_cleared(world, job_ix, &hosts) {
+            return Vec::new();
+        }
+        for host in &hosts {
+            world.hosts[*host].free.take(&laid_out.need);
         }
-        world.jobs[job_ix] = job;
-        world.teams = teams;
+        world.jobs[job_ix] = laid_out;
+        world.teams = used;
     }
     hosts
 }
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -73,12 +73,35 @@
     room.fits(&need).then_some((cost, victims))
 }
 
-/// Whether a gang should rather push work aside on a machine that holds its image than start at
-/// once on one that would have to fetch it.
-pub(crate) fn worth_evicting(world: &World, job_ix: usize) -> bool {
+/// Whether a gang should rather push work aside on machines that hold its image than wait for a
+/// fetch that costs `cost` CPU seconds of waiting places.
+pub(crate) fn worth_evicting(world: &World, job_ix: usize, cost: f64) -> bool {
     let taken = vec![false; world.hosts.len()];
-    evict_for(world, job_ix, world.jobs[job_ix].startable, &taken)
-        .is_some_and(|found| !found.victims.is_empty())
+    evict_for(world, job_ix, world.jobs[job_ix].startable, &taken, true)
+        .is_some_and(|(price, found)| !found.victims.is_empty() && price < cost)
+}
+
+/// The cheaper of two ways to make room: on machines that hold the image, or on any. A gang starts
+/// together, so the longest fetch keeps all of its places waiting.
+fn cheapest_eviction(world: &World, job_ix: usize, tasks: u32, taken: &[bool]) -> Option<Eviction> {
+    let job = &world.jobs[job_ix];
+    let any = evict_for(world, job_ix, tasks, taken, false);
+    if !job.gang {
+        return any.map(|(_, found)| found);
+    }
+    let warm = evict_for(world, job_ix, tasks, taken, true);
+    let fetch = |found: &Eviction| {
+        let longest = |h: &usize| crate::place::fetch_time(world, job, &world.hosts[*h]);
+        found.hosts.iter().map(longest).fold(0.0, f64::max)
+    };
+    let whole = job.need.cpus * f64::from(tasks);
+    match (warm, any) {
+        (Some((cost, warm)), Some((other, any))) => {
+            let dearer = cost > other + fetch(&any) * whole;
+            Some(if dearer { any } else { warm })
+        }
+        (warm, any) => warm.or(any).map(|(_, found)| found),
+    }
 }
 
 /// Finds room for waiting work that may push other work aside: work of higher rank, and work within
@@ -112,7 +135,7 @@
             continue;
         }
         if let Some(found) =
-            evict_for(world, job_ix, tasks, &taken).filter(|f| !f.victims.is_empty())
+            cheapest_eviction(world, job_ix, tasks, &taken).filter(|f| !f.victims.is_empty())
         {
             for host in &found.hosts {
                 taken[*host] = true;
@@ -153,7 +176,13 @@
     (team.allows(&job.need) >= tasks && !found.victims.is_empty()).then_some(found)
 }
 
-fn evict_for(world: &World, job_ix: usize, tasks: u32, taken: &[bool]) -> Option<Eviction> {
+fn evict_for(
+    world: &World,
+    job_ix: usize,
+    tasks: u32,
+    taken: &[bool],
+    warm: bool,
+) -> Option<(f64, Eviction)> {
     let job = &world.jobs[job_ix];
     let mut zones: Vec<Option<usize>> = vec![None];
     if job.together {
@@ -166,26 +195,30 @@
         let mut used = taken.to_vec();
         let mut per_zone = job.per_zone.clone();
         let mut left = tasks;
-        while left > 0 {
-            let mut pick: Option<(f64, usize, Vec<u64>)> = None;
-            for (i, host) in world.hosts.iter().enumerate() {
-                let closed = used[i]
-                    || !host.open
-                    || host.booting
-                    || host.kept_for.is_some_and(|k| k != job_ix)
-                    || zone.is_some_and(|z| z != host.yard)
-                    || !job.allows(host.flavor, host.yard, host.loaner)
-                    || per_zone.get(host.yard).copied().unwrap_or(0) >= job.zone_cap;
-                if closed {
-                    continue;
-                }
-                if let Some((price, victims)) = on_host(world, job_ix, host, host.free)
-                    && pick.as_ref().is_none_or(|(p, _, _)| price < *p)
-                {
-                    pick = Some((price, i, victims));
-                }
+        // What a machine costs does not depend on the others, so each is judged once.
+        let mut picks: Vec<(f64, usize, Vec<u64>)> = Vec::new();
+        for (i, host) in world.hosts.iter().enumerate() {
+            let closed = used[i]
+                || !host.open
+                || host.booting
+                || host.kept_for.is_some_and(|k| k != job_ix)
+                || zone.is_some_and(|z| z != host.yard)
+                || !job.allows(host.flavor, host.yard, host.loaner)
+                || !host.total.fits(&job.need)
+                || (warm && crate::place::fetch_time(world, job, host) > 0.0);
+            if !closed && let Some((price, victims)) = on_host(world, job_ix, host, host.free) {
+                picks.push((price, i, victims));
+            }
+        }
+        picks.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (price, host, victims) in picks {
+            if left == 0 {
+                break;
+            }
+            let yard = world.hosts[host].yard;
+            if per_zone.get(yard).copied().unwrap_or(0) >= job.zone_cap {
+                continue;
             }
-            let Some((price, host, victims)) = pick else { break };
             used[host] = true;
             cost += price;
             // Whatever else fits on the machine once it is clear goes there too.
@@ -201,7 +234,7 @@
             best = Some((cost, found));
         }
     }
-    best.map(|(_, found)| found)
+    best
 }
 
 #[cfg(test)]
