--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -175,6 +175,14 @@
 pub const STOP_PATIENCE_MS: u64 = 10_000;
 /// A job counts as late once its deadline is less than this many of its task times away.
 pub const LATE_TASK_TIMES: f64 = 0.0;
+/// A job that has not started this long after its submission goes before those that could still meet
+/// their aims, s. Half of the four minutes in which the users expect the largest jobs to begin.
+pub const START_BOUND_S: f64 = 120.0;
+/// Age from which a job that is late, or yields to jobs that can be in time, has a part of the CPUs
+/// to itself, s. Half of the four minutes likewise.
+pub const AGED_S: f64 = 120.0;
+/// That part, as a share of the CPUs that are up.
+pub const AGED_SHARE: f64 = 0.15;
 /// Deadline assumed, in multiples of the estimate, when sizing the fleet for deadline-free jobs.
 pub const FREE_JOB_STRETCH: f64 = 2.0;
 /// What placing a task on an empty machine costs against one that is in use, s of image fetch.
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -21,7 +21,7 @@
 };
 use commit::Writer;
 use hookway_constants as constants;
-use hookway_wire::{Flavor, Guard, JobId, JobState, JobStatus, KeyValue};
+use hookway_wire::{Flavor, Guard, JobId, JobSpec, JobState, JobStatus, KeyValue};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// What does not change while a node leads.
@@ -365,7 +365,8 @@
         let zones = self.setup.params.zones.len();
         self.next_job += 1;
         let key = self.next_job;
-        let due = self.due_of(&record);
+        let starts = self.start_aims(&record.spec);
+        let due = self.due_of(&record, &starts);
         tracing::info!(
             "job {id}: seen ({:?}, {} tasks, lane {}, {}, {} GB)",
             record.spec.shape,
@@ -388,22 +389,37 @@
         lane.image_gb = lane.image_gb.max(record.spec.image_gb);
         lane.images.insert(image);
         lane.loaners &= record.spec.loaners;
-        let job = Job::new(record, due, team, image, zones, inherited, at);
+        let job = Job::new(record, due, &starts, team, image, zones, inherited, at);
         self.by_id.insert(id, key);
         self.jobs.insert(key, job);
     }
 
     /// A job's own deadline, or what the aims promise its class.
-    fn due_of(&self, record: &JobRecord) -> Option<f64> {
-        record.spec.due_s.or_else(|| {
-            self.setup
-                .params
-                .objectives
-                .iter()
-                .filter(|o| o.class.as_deref() == Some(&record.spec.lane))
-                .filter(|o| o.kind == "finished")
-                .find_map(|o| o.within_s)
-        })
+    fn due_of(&self, record: &JobRecord, starts: &[f64]) -> Option<f64> {
+        let aims = |kind: &str| self.aims(&record.spec, kind).next();
+        let finished = aims("finished");
+        // All tasks of an array have started in time if the last ones end a task time later.
+        let started = starts.first().filter(|_| !record.spec.is_gang());
+        let started = started.map(|s| s + record.spec.guess_s);
+        let implied = match (finished, started) {
+            (Some(f), Some(s)) => Some(f.min(s)),
+            (f, s) => f.or(s),
+        };
+        record.spec.due_s.or(implied)
+    }
+
+    /// The times, s after submission, by which the aims want a job of this class started.
+    fn start_aims(&self, spec: &JobSpec) -> Vec<f64> {
+        let mut times: Vec<f64> = self.aims(spec, "wait").collect();
+        times.sort_by(f64::total_cmp);
+        times
+    }
+
+    fn aims<'a>(&'a self, spec: &'a JobSpec, kind: &'a str) -> impl Iterator<Item = f64> + 'a {
+        let objectives = self.setup.params.objectives.iter();
+        objectives
+            .filter(move |o| o.kind == kind && o.class.as_deref() == Some(&spec.lane))
+            .filter_map(|o| o.within_s)
     }
 
     fn image(&mut self, bundle: &str) -> u32 {
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -79,6 +79,8 @@
     pub submitted: f64,
     /// When it should be complete, likewise.
     pub due: Option<f64>,
+    /// When it should have started, likewise, tightest aim first.
+    pub start_by: Vec<f64>,
     /// An earlier leader may have started some of it.
     pub inherited: bool,
     /// Per task.
@@ -132,6 +134,7 @@
     pub fn new(
         record: JobRecord,
         due_s: Option<f64>,
+        start_within_s: &[f64],
         team: usize,
         image: u32,
         zones: usize,
@@ -150,6 +153,7 @@
             need: Room::of_task(&spec),
             submitted,
             due: due_s.map(|d| submitted + d),
+            start_by: start_within_s.iter().map(|s| submitted + s).collect(),
             inherited,
             slots: vec![Slot::Free; pieces],
             free: (0..spec.pieces).collect(),
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -145,6 +145,7 @@
             save_time: if job.spec.saves() { job.spec.snapshot_s } else { 0.0 },
             submitted: job.submitted,
             due: job.due,
+            start_by: job.start_by.clone(),
             guess: job.spec.guess_s,
             finished: job.done,
             mean: job.mean_ms().map(|ms| ms / 1000.0),
--- a/crates/policy/src/minimum.rs
+++ b/crates/policy/src/minimum.rs
@@ -15,7 +15,7 @@
     over(mean, job.unfinished, due - now)
 }
 
-fn over(mean: f64, unfinished: u32, left: f64) -> u32 {
+pub(crate) fn over(mean: f64, unfinished: u32, left: f64) -> u32 {
     if left < mean || left <= 0.0 {
         return unfinished;
     }
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -23,21 +23,66 @@
     job.due.is_some_and(|due| now + constants::LATE_TASK_TIMES * job.task_time() > due)
 }
 
+/// How many of the aims for its start a job has missed; one that has waited beyond the bound goes
+/// before all others, so that no order starves it.
+fn missed_starts(job: &JobView, now: f64) -> usize {
+    if now > job.submitted + constants::START_BOUND_S {
+        return 0;
+    }
+    job.start_by.iter().filter(|by| now > **by).count()
+}
+
+/// The order among jobs of which nothing has run: by rank, then those that can still start in time,
+/// then the oldest.
+pub(crate) fn who_starts_first(a: &JobView, b: &JobView, now: f64) -> std::cmp::Ordering {
+    b.rank
+        .cmp(&a.rank)
+        .then(missed_starts(a, now).cmp(&missed_starts(b, now)))
+        .then(a.submitted.total_cmp(&b.submitted))
+}
+
+/// Jobs that can't all be in time: when the minimums together need more than `capacity` CPUs, those
+/// that need least are kept to, since most jobs are in time then, and the others yield like late
+/// ones. Earliest deadline first would make nearly all of them late one after the other.
+fn deferred(jobs: &[JobView], now: f64, capacity: f64) -> Vec<bool> {
+    let mut yields = vec![false; jobs.len()];
+    let mut room = capacity;
+    let mut rates: Vec<(f64, usize)> = Vec::new();
+    for (i, job) in jobs.iter().enumerate() {
+        if job.gang || job.endless {
+            room -= f64::from(job.running.max(job.startable)) * job.need.cpus;
+            continue;
+        }
+        let Some(due) = job.due.filter(|_| !late(job, now)) else { continue };
+        let least = job.mean.map_or_else(
+            || crate::minimum::over(job.task_time(), job.unfinished, due - now),
+            |_| minimum(job, now),
+        );
+        rates.push((f64::from(least) * job.need.cpus, i));
+    }
+    rates.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    for (rate, i) in rates {
+        room -= rate;
+        yields[i] = room < 0.0;
+    }
+    yields
+}
+
 /// The order of the design, within each rank: jobs with nothing finished or running first, oldest
 /// first; then earliest deadline, each up to its minimum. What is left goes to the job with the least
-/// work left, late jobs last.
-pub fn turns(jobs: &[JobView], now: f64) -> Vec<Turn> {
+/// work left. Jobs that are late, or can't be in time together with the others on `capacity` CPUs, come
+/// last; but a part of the CPUs goes to those of them that have waited longest.
+pub fn turns(jobs: &[JobView], now: f64, capacity: f64) -> Vec<Turn> {
+    let yields = deferred(jobs, now, capacity);
+    let last = |i: usize| yields[i] || late(&jobs[i], now);
     let open: Vec<usize> = (0..jobs.len()).filter(|i| jobs[*i].startable > 0).collect();
     let mut unseen: Vec<usize> = open.iter().copied().filter(|i| jobs[*i].unseen()).collect();
-    unseen.sort_by(|a, b| {
-        let (a, b) = (&jobs[*a], &jobs[*b]);
-        b.rank.cmp(&a.rank).then(a.submitted.total_cmp(&b.submitted))
-    });
+    unseen.sort_by(|a, b| who_starts_first(&jobs[*a], &jobs[*b], now));
     let mut seen: Vec<usize> = open.iter().copied().filter(|i| !jobs[*i].unseen()).collect();
     seen.sort_by(|a, b| {
+        let order = last(*a).cmp(&last(*b));
         let (a, b) = (&jobs[*a], &jobs[*b]);
-        late(a, now)
-            .cmp(&late(b, now))
+        order
             .then(b.rank.cmp(&a.rank))
             .then(due(a).total_cmp(&due(b)))
             .then(a.submitted.total_cmp(&b.submitted))
@@ -47,6 +92,24 @@
         let tasks = if jobs[*job].gang { jobs[*job].startable } else { 1 };
         list.push(Turn { job: *job, tasks, leftover: false });
     }
+    // However much comes in time, what has waited long gets on.
+    let mut aged: Vec<usize> = (0..jobs.len())
+        .filter(|i| {
+            let job = &jobs[*i];
+            !job.gang && !job.unseen() && last(*i) && now > job.submitted + constants::AGED_S
+        })
+        .collect();
+    aged.sort_by(|a, b| jobs[*a].submitted.total_cmp(&jobs[*b].submitted));
+    let mut part = capacity * constants::AGED_SHARE;
+    for job in aged {
+        let view = &jobs[job];
+        part -= f64::from(view.running) * view.need.cpus;
+        let tasks = (part / view.need.cpus.max(0.001)).max(0.0).min(f64::from(view.startable));
+        if tasks >= 1.0 {
+            part -= tasks.floor() * view.need.cpus;
+            list.push(Turn { job, tasks: tasks as u32, leftover: false });
+        }
+    }
     for job in &seen {
         let view = &jobs[*job];
         let least = if view.gang { view.unfinished } else { minimum(view, now) };
@@ -60,8 +123,8 @@
     let mut rest: Vec<usize> = unseen.into_iter().chain(seen).filter(|i| !jobs[*i].gang).collect();
     let work = |j: &JobView| f64::from(j.startable) * j.task_time() * j.need.cpus;
     rest.sort_by(|a, b| {
-        let (a, b) = (&jobs[*a], &jobs[*b]);
-        late(a, now).cmp(&late(b, now)).then(work(a).total_cmp(&work(b)))
+        let order = last(*a).cmp(&last(*b));
+        order.then(work(&jobs[*a]).total_cmp(&work(&jobs[*b])))
     });
     for job in rest {
         list.push(Turn { job, tasks: jobs[job].startable, leftover: true });
@@ -88,7 +151,7 @@
             ..job(1.0, 10)
         };
         let jobs = vec![new, started(40.0), old, started(20.0)];
-        let list = turns(&jobs, 0.0);
+        let list = turns(&jobs, 0.0, 1000.0);
         let needed: Vec<(usize, u32)> =
             list.iter().filter(|t| !t.leftover).map(|t| (t.job, t.tasks)).collect();
         // 10 s x 8 / 20 s = 4, two run; 10 s x 8 / 40 s = 2, two run: nothing short.
@@ -99,7 +162,64 @@
         jobs[1].startable = 3;
         jobs[3].due = Some(-1.0);
         let left: Vec<usize> =
-            turns(&jobs, 0.0).iter().filter(|t| t.leftover).map(|t| t.job).collect();
+            turns(&jobs, 0.0, 1000.0).iter().filter(|t| t.leftover).map(|t| t.job).collect();
         assert_eq!(left, [1, 2, 0, 3], "less work goes first, a late job last");
     }
+
+    /// A job that has one task done and needs `unfinished` more by `due`.
+    fn started(unfinished: u32, due: f64) -> JobView {
+        JobView {
+            finished: 1,
+            unfinished,
+            startable: unfinished,
+            mean: Some(10.0),
+            due: Some(due),
+            ..job(1.0, unfinished + 1)
+        }
+    }
+
+    #[test]
+    fn when_not_all_can_be_in_time_those_that_need_least_are() {
+        // Minimums 10, 8 and 2 on 10 CPUs: the first, due earliest, would make the others late.
+        let jobs = vec![started(10, 10.0), started(16, 20.0), started(4, 20.0)];
+        let first = |capacity| turns(&jobs, 0.0, capacity)[0].job;
+        assert_eq!(first(20.0), 0, "room for all: earliest deadline first");
+        assert_eq!(first(10.0), 1, "the two that fit go before the one that does not");
+    }
+
+    #[test]
+    fn the_jump_to_all_unfinished_tasks_does_not_take_the_room_of_jobs_that_can_be_saved() {
+        // The design's weak spot: under one mean task time left, the minimum is all 100 tasks.
+        let jobs = vec![started(100, 9.0), started(4, 20.0)];
+        assert_eq!(minimum(&jobs[0], 0.0), 100);
+        assert_eq!(turns(&jobs, 0.0, 50.0)[0].job, 1);
+    }
+
+    #[test]
+    fn no_order_starves_what_has_waited_long() {
+        // A late job, a fresh one each second that would take all there is.
+        let mut late = started(500, 5.0);
+        late.submitted = 0.0;
+        let now = constants::AGED_S + 1.0;
+        let mut jobs = vec![late];
+        jobs.extend((0..50).map(|_| JobView { submitted: now - 1.0, ..started(10, now + 15.0) }));
+        let list = turns(&jobs, now, 100.0);
+        assert_eq!((list[0].job, list[0].tasks), (0, 15), "a part of the room is its own");
+        assert_ne!(turns(&jobs, 20.0, 100.0)[0].job, 0, "before the bound it yields");
+    }
+
+    #[test]
+    fn a_gang_that_can_start_in_time_goes_before_one_that_can_not_up_to_a_bound() {
+        let gang = |submitted: f64| JobView {
+            gang: true,
+            submitted,
+            start_by: vec![submitted + 25.0, submitted + 40.0],
+            ..job(1.0, 4)
+        };
+        let jobs = vec![gang(0.0), gang(50.0), gang(20.0)];
+        let order = |now| turns(&jobs, now, 100.0).iter().map(|t| t.job).collect::<Vec<_>>();
+        assert_eq!(order(60.0), [1, 2, 0], "in time; in time for the looser aim only; for none");
+        let late = 1.0 + constants::START_BOUND_S;
+        assert_eq!(order(late)[0], 0, "beyond the bound the oldest goes first");
+    }
 }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -172,7 +172,8 @@
 pub fn place(world: &mut World) -> Placed {
     let mut placed = Placed::default();
     let mut room_kept = false;
-    for turn in turns(&world.jobs, world.now) {
+    let capacity = world.hosts.iter().filter(|h| h.open && !h.booting).map(|h| h.total.cpus).sum();
+    for turn in turns(&world.jobs, world.now, capacity) {
         let hosts = place_job(world, turn.job, turn.tasks);
         let job = &world.jobs[turn.job];
         if !job.gang && (hosts.len() as u32) < turn.tasks.min(job.startable) {
@@ -300,6 +301,7 @@
             save_time: 0.0,
             submitted: 0.0,
             due: None,
+            start_by: vec![],
             guess: 10.0,
             finished: 0,
             mean: None,
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -122,7 +122,7 @@
         .collect();
     waiting.sort_by(|a, b| {
         let (a, b) = (&world.jobs[*a], &world.jobs[*b]);
-        b.rank.cmp(&a.rank).then(a.submitted.total_cmp(&b.submitted))
+        crate::order::who_starts_first(a, b, world.now)
     });
     let mut taken: Vec<bool> = vec![false; world.hosts.len()];
     let mut all = Vec::new();
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -38,6 +38,8 @@
     pub submitted: f64,
     /// When it should be complete, s: its own deadline, or what the aims say of its class.
     pub due: Option<f64>,
+    /// When it should have started, s: what the aims say of its class, tightest first.
+    pub start_by: Vec<f64>,
     /// Owner's estimate of a task's time, s.
     pub guess: f64,
     /// Tasks that are finished.
