--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -42,12 +42,12 @@
 }
 
 /// Jobs that can't all be in time: when the minimums together need more than `capacity` CPUs, those
-/// that need least are kept to, since most jobs are in time then, and the others yield like late
+/// with the least work left are kept to, since most jobs are in time then, and the others yield like late
 /// ones. Earliest deadline first would make nearly all of them late one after the other.
 fn deferred(jobs: &[JobView], now: f64, capacity: f64) -> Vec<bool> {
     let mut yields = vec![false; jobs.len()];
     let mut room = capacity;
-    let mut rates: Vec<(f64, usize)> = Vec::new();
+    let mut rates: Vec<(f64, f64, usize)> = Vec::new();
     for (i, job) in jobs.iter().enumerate() {
         if job.gang || job.endless {
             room -= f64::from(job.running.max(job.startable)) * job.need.cpus;
@@ -58,10 +58,11 @@
             || crate::minimum::over(job.task_time(), job.unfinished, due - now),
             |_| minimum(job, now),
         );
-        rates.push((f64::from(least) * job.need.cpus, i));
+        let work = f64::from(job.unfinished) * job.task_time() * job.need.cpus;
+        rates.push((work, f64::from(least) * job.need.cpus, i));
     }
-    rates.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-    for (rate, i) in rates {
+    rates.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
+    for (_, rate, i) in rates {
         room -= rate;
         yields[i] = room < 0.0;
     }
