--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -63,8 +63,10 @@
     }
     rates.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
     for (_, rate, i) in rates {
-        room -= rate;
-        yields[i] = room < 0.0;
+        yields[i] = rate > room;
+        if !yields[i] {
+            room -= rate;
+        }
     }
     yields
 }
