Takeover: the store says how far a job's tasks may have been started; the rest starts at once

Now a job's record of its minimum holds a mark, written before the first start beyond it; what lies above the mark was never started. A leader without marks before this one makes all of it count as started.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -37,6 +37,11 @@
 pub const LEADER_WRITE_SHARE: f64 = 0.7;
 /// Share of the store's write rate that the records of minimums may use (the design's bound).
 pub const MINIMUM_WRITE_SHARE: f64 = 0.5;
+/// In so many steps the store learns how far a job's tasks may have been started. More steps let a new
+/// leader start more of it before all machines have reported, and cost a write each.
+pub const OPEN_STEPS: u32 = 4;
+/// Tasks in such a step, at least.
+pub const OPEN_LEAST: u32 = 32;
 /// Relative change of a minimum that makes its record be written again (the design's quarter).
 pub const MINIMUM_REWRITE_CHANGE: f64 = 0.25;
 /// Share of the store's request rate that one node allows itself.
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -355,7 +355,7 @@
             }
         }
         let owner = spec.owner.clone();
-        let record = JobRecord { spec, at_ms: wall_ms() };
+        let record = JobRecord { spec, at_ms: wall_ms(), marked: true };
         let Ok(value) = serde_json::to_value(&record) else { return later("internal") };
         if value.to_string().len() as f64 > self.params.state.value_kb * 1024.0 {
             return Verdict::Refused(400, "the job's description is too long".into());
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -7,7 +7,7 @@
 //! an outage leases have their full time again, so it often can go on.
 
 use crate::ledger::Moment;
-use crate::records::{LEAD, LEAD_NOW, LEAD_TERM, LeadRecord};
+use crate::records::{LEAD, LEAD_MARKS, LEAD_NOW, LEAD_TERM, LeadRecord};
 use hookway_clients::{CommitOutcome, StoreClient, StoreError};
 use hookway_constants as constants;
 use hookway_wire::{Change, Event, Guard, KeyValue, Transaction};
@@ -57,6 +57,8 @@
     pub guard: Guard,
     /// The lease.
     pub permit: u64,
+    /// The leader before kept marks of how far tasks of jobs may have been started.
+    pub marked: bool,
 }
 
 /// What this node knows of the leadership.
@@ -107,7 +109,7 @@
 
 enum Found {
     Leader(KeyValue, LeadRecord),
-    Nobody { term: u64, term_stamp: u64 },
+    Nobody { term: u64, term_stamp: u64, marked: bool },
 }
 
 impl Leadership {
@@ -120,7 +122,7 @@
                     if record.label == self.label && record.nonce == nonce {
                         // Our own transaction, whose answer was lost.
                         if let Some(permit) = kv.permit {
-                            self.lead(&record, kv.stamp, permit, 0).await;
+                            self.lead(&record, kv.stamp, permit, 0, false).await;
                             nonce = rand::rng().random();
                             continue;
                         }
@@ -140,10 +142,10 @@
                     self.publish(Some(record.label), None);
                     self.follow(epoch).await;
                 }
-                Ok((Found::Nobody { term, term_stamp }, _)) => {
+                Ok((Found::Nobody { term, term_stamp, marked }, _)) => {
                     let jitter = rand::rng().random_range(0..=constants::ELECTION_JITTER_MS);
                     self.pause(jitter).await;
-                    self.stand(nonce, term, term_stamp).await;
+                    self.stand(nonce, term, term_stamp, marked).await;
                 }
                 Err(e) => {
                     tracing::debug!("leadership: {e}");
@@ -182,9 +184,11 @@
             return Ok((Found::Leader(kv, record), epoch));
         }
         let term = pairs.iter().find(|p| p.key == LEAD_TERM);
+        let marks = pairs.iter().find(|p| p.key == LEAD_MARKS);
         let found = Found::Nobody {
             term: term.and_then(|t| t.v.as_u64()).unwrap_or(0),
             term_stamp: term.map_or(0, |t| t.stamp),
+            marked: term.map(|t| &t.v) == marks.map(|m| &m.v),
         };
         Ok((found, epoch))
     }
@@ -211,7 +215,7 @@
         }
     }
 
-    async fn stand(&self, nonce: u64, term: u64, term_stamp: u64) {
+    async fn stand(&self, nonce: u64, term: u64, term_stamp: u64, marked: bool) {
         let sent = self.clock.now();
         let permit = match self.store.grant(constants::LEADER_TTL_MS).await {
             Ok(permit) => permit,
@@ -233,12 +237,13 @@
             apply: vec![
                 Change::Put { put: LEAD_NOW.into(), v: value, permit: Some(permit) },
                 Change::put(LEAD_TERM, serde_json::json!(last)),
+                Change::put(LEAD_MARKS, serde_json::json!(last)),
             ],
         };
         match self.store.commit(&transaction).await {
             Ok(CommitOutcome::Applied(epoch)) => {
                 let until = valid_until(sent, constants::LEADER_TTL_MS);
-                self.lead(&record, epoch, permit, until).await;
+                self.lead(&record, epoch, permit, until, marked).await;
             }
             Ok(CommitOutcome::Refused(_)) => {
                 let _ = self.store.release(permit).await;
@@ -252,11 +257,11 @@
     }
 
     /// Leads until the lease is lost.
-    async fn lead(&self, record: &LeadRecord, stamp: u64, permit: u64, until: u64) {
+    async fn lead(&self, record: &LeadRecord, stamp: u64, permit: u64, until: u64, marked: bool) {
         tracing::info!("leading, term {}", record.term);
         self.validity.set(until);
         let guard = Guard { key: LEAD_NOW.into(), stamp };
-        let mandate = Mandate { term: record.term, guard, permit };
+        let mandate = Mandate { term: record.term, guard, permit, marked };
         self.publish(Some(self.label.clone()), Some(mandate));
         let mut pause = if until == 0 { 0 } else { constants::LEADER_EXTEND_EVERY_MS };
         let gave_up = loop {
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -125,16 +125,24 @@
             if !able {
                 continue;
             }
+            let mut unopened = false;
             let chosen: Vec<usize> = (0..host.held.len())
                 .filter(|i| {
                     let h = &host.held[*i];
                     let job = h.job.and_then(|k| self.jobs.get(&k));
                     h.phase == Phase::Planned
                         && self.must_stop(h, now).is_none()
-                        && job.is_some_and(|j| !j.strays.contains(&h.index))
+                        && job.is_some_and(|j| {
+                            let opened = h.index < j.opened;
+                            unopened |= !opened;
+                            opened && !j.strays.contains(&h.index)
+                        })
                 })
                 .take(constants::DIRECT_TASKS)
                 .collect();
+            if unopened {
+                self.planned_on.insert(name.clone());
+            }
             if chosen.is_empty() {
                 continue;
             }
@@ -546,8 +554,9 @@
         let mut held = host.held.clone();
         let mut dropped = Vec::new();
         for h in &mut held {
-            let stray_elsewhere =
-                h.job.and_then(|k| self.jobs.get(&k)).is_some_and(|j| j.strays.contains(&h.index));
+            let job = h.job.and_then(|k| self.jobs.get(&k));
+            let stray_elsewhere = job.is_some_and(|j| j.strays.contains(&h.index));
+            let opened = job.is_some_and(|j| h.index < j.opened);
             match (h.phase, self.must_stop(h, now)) {
                 (Phase::Planned, None) if stray_elsewhere || !stays => {
                     dropped.push((h.piece.clone(), h.attempt));
@@ -558,7 +567,7 @@
                     r#try: h.attempt,
                     wind_down_s,
                 }),
-                (Phase::Planned, None) if may_start && orders.len() < ORDERS_AT_MOST => {
+                (Phase::Planned, None) if may_start && opened && orders.len() < ORDERS_AT_MOST => {
                     tracing::debug!("task {} attempt {}: start on {name}", h.piece, h.attempt);
                     orders.push(Order::Run { piece: h.piece.clone(), r#try: h.attempt });
                     h.phase = Phase::Sent;
--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -8,7 +8,7 @@
 use hookway_constants as constants;
 use hookway_policy::needs_rewrite;
 use hookway_wire::{Change, Guard, JobId, JobState, KeyValue, Transaction};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Bytes of values that one transaction may hold; the limit is 64 KiB in all.
 const TRANSACTION_BYTES: usize = 48 * 1024;
@@ -44,7 +44,9 @@
     /// Entries of the older format, by machine: dropped once a record holds the machine.
     old_entries: HashMap<String, String>,
     trash: VecDeque<String>,
-    minimums: BTreeMap<u64, MinimumRecord>,
+    minimums: BTreeSet<u64>,
+    /// Jobs of which tasks wait for the store to let them be started.
+    pub opens: BTreeSet<u64>,
     bucket: Bucket,
     minimum_bucket: Bucket,
     busy: bool,
@@ -62,7 +64,8 @@
             roster: Roster::new(params.state.value_kb),
             old_entries: HashMap::new(),
             trash: VecDeque::new(),
-            minimums: BTreeMap::new(),
+            minimums: BTreeSet::new(),
+            opens: BTreeSet::new(),
             bucket: Bucket::new(rate * constants::LEADER_WRITE_SHARE, now),
             minimum_bucket: Bucket::new(rate * constants::MINIMUM_WRITE_SHARE, now),
             busy: false,
@@ -144,6 +147,7 @@
         self.add_finals(&mut commit, most);
         let mut bytes = 0;
         self.add_roster(&mut commit, most, &mut bytes);
+        self.add_opens(&mut commit, most);
         self.add_chunks(&mut commit, most, &mut bytes);
         while commit.transaction.apply.len() < most
             && let Some(key) = self.writer.trash.pop_front()
@@ -251,23 +255,42 @@
         }
     }
 
+    fn add_opens(&mut self, commit: &mut Commit, most: usize) {
+        while commit.transaction.apply.len() < most
+            && let Some(key) = self.writer.opens.pop_first()
+        {
+            self.add_minimum(commit, key);
+        }
+    }
+
     fn add_minimums(&mut self, commit: &mut Commit, most: usize, now: u64) {
         while commit.transaction.apply.len() < most && self.writer.minimum_bucket.fill(now) >= 1.0 {
-            let Some((key, record)) = self.writer.minimums.pop_first() else { break };
-            let Some(job) = self.jobs.get(&key).filter(|j| j.live()) else { continue };
-            let Ok(value) = serde_json::to_value(&record) else { continue };
+            let Some(key) = self.writer.minimums.pop_first() else { break };
             self.writer.minimum_bucket.units -= 1.0;
-            commit.transaction.apply.push(Change::put(minimum_key(&job.id), value));
-            commit.items.push(Item::Minimum(key, record));
+            self.add_minimum(commit, key);
         }
     }
 
+    fn add_minimum(&mut self, commit: &mut Commit, key: u64) {
+        let Some(job) = self.jobs.get(&key).filter(|j| j.live()) else { return };
+        let record = MinimumRecord {
+            least: job.least,
+            timed: job.timed,
+            sum_ms: job.sum_ms,
+            opened: job.opened.max(job.opening),
+        };
+        let Ok(value) = serde_json::to_value(&record) else { return };
+        commit.transaction.apply.push(Change::put(minimum_key(&job.id), value));
+        commit.items.push(Item::Minimum(key, record));
+        self.writer.minimums.remove(&key);
+    }
+
     /// A job's minimum is now this: kept for the next leader if it changed by a quarter.
     pub(super) fn keep_minimum(&mut self, key: u64, least: u32) {
-        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.least = least;
         if needs_rewrite(job.written_minimum, least) {
-            let record = MinimumRecord { least, timed: job.timed, sum_ms: job.sum_ms };
-            self.writer.minimums.insert(key, record);
+            self.writer.minimums.insert(key);
         }
     }
 
@@ -331,6 +354,8 @@
             Item::Minimum(key, record) => {
                 if let Some(job) = self.jobs.get_mut(&key) {
                     job.written_minimum = Some(record.least);
+                    job.opened = job.opened.max(record.opened);
+                    job.written_opened = true;
                     if job.over.is_some() {
                         let name = minimum_key(&job.id);
                         self.writer.trash.push_back(name);
@@ -352,7 +377,12 @@
             Item::Chunk(key, chunk, _) => self.queue_if_needed(key, chunk),
             Item::Roster(number, _) => self.writer.roster.again(number),
             Item::Trash(key) => self.writer.trash.push_back(key),
-            Item::Minimum(..) => {}
+            Item::Minimum(key, _) => {
+                let waits = |j: &super::Job| j.opening > j.opened || !j.written_opened;
+                if self.jobs.get(&key).is_some_and(waits) {
+                    self.writer.opens.insert(key);
+                }
+            }
         }
     }
 
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -12,7 +12,7 @@
 
 pub use commit::{Commit, CommitResult, Learned};
 pub use fleet::FleetAction;
-pub use model::{Ended, Held, Host, Job, Kill, Phase, Recent, Slot};
+pub use model::{Aims, Ended, Held, Host, Job, Kill, Phase, Recent, Slot};
 
 use crate::blocks::Blocks;
 use crate::config::{OperatorSettings, Params};
@@ -48,6 +48,8 @@
     pub roster: Vec<KeyValue>,
     /// `i/`.
     pub images: Vec<KeyValue>,
+    /// The leader before kept marks of how far tasks of jobs may have been started.
+    pub marked: bool,
 }
 
 /// Two readings of the same moment: the steady clock and the time of day, both in ms.
@@ -254,10 +256,21 @@
                     job.written_minimum = Some(record.least);
                     job.timed = record.timed;
                     job.sum_ms = record.sum_ms;
+                    job.opened = record.opened.max(job.opened);
                 }
                 _ => self.writer.trash(kv.key),
             }
         }
+        for job in self.jobs.values_mut() {
+            // Without marks every task may have been started, and the next leader must know it too.
+            if !(job.marked && loaded.marked) {
+                job.opened = job.spec.pieces;
+                job.written_opened = false;
+            }
+            job.sure_from = job.opened;
+        }
+        let unwritten = self.jobs.iter().filter(|(_, j)| !j.written_opened);
+        self.writer.opens.extend(unwritten.map(|(key, _)| *key));
         for kv in loaded.roster {
             let Some(name) = kv.key.strip_prefix(crate::records::ROSTER) else { continue };
             let Some(number) = roster::Roster::number(name) else {
@@ -365,8 +378,7 @@
         let zones = self.setup.params.zones.len();
         self.next_job += 1;
         let key = self.next_job;
-        let starts = self.start_aims(&record.spec);
-        let due = self.due_of(&record, &starts);
+        let aims = self.aims_of(&record.spec);
         tracing::info!(
             "job {id}: seen ({:?}, {} tasks, lane {}, {}, {} GB)",
             record.spec.shape,
@@ -389,30 +401,23 @@
         lane.image_gb = lane.image_gb.max(record.spec.image_gb);
         lane.images.insert(image);
         lane.loaners &= record.spec.loaners;
-        let job = Job::new(record, due, &starts, team, image, zones, inherited, at);
+        let job = Job::new(record, &aims, team, image, zones, inherited, at);
         self.by_id.insert(id, key);
         self.jobs.insert(key, job);
     }
 
     /// A job's own deadline, or what the aims promise its class.
-    fn due_of(&self, record: &JobRecord, starts: &[f64]) -> Option<f64> {
-        let aims = |kind: &str| self.aims(&record.spec, kind).next();
-        let finished = aims("finished");
+    fn aims_of(&self, spec: &JobSpec) -> Aims {
+        let mut start_s: Vec<f64> = self.aims(spec, "wait").collect();
+        start_s.sort_by(f64::total_cmp);
+        let finished = self.aims(spec, "finished").next();
         // All tasks of an array have started in time if the last ones end a task time later.
-        let started = starts.first().filter(|_| !record.spec.is_gang());
-        let started = started.map(|s| s + record.spec.guess_s);
+        let started = start_s.first().filter(|_| !spec.is_gang()).map(|s| s + spec.guess_s);
         let implied = match (finished, started) {
             (Some(f), Some(s)) => Some(f.min(s)),
             (f, s) => f.or(s),
         };
-        record.spec.due_s.or(implied)
-    }
-
-    /// The times, s after submission, by which the aims want a job of this class started.
-    fn start_aims(&self, spec: &JobSpec) -> Vec<f64> {
-        let mut times: Vec<f64> = self.aims(spec, "wait").collect();
-        times.sort_by(f64::total_cmp);
-        times
+        Aims { due_s: spec.due_s.or(implied), start_s }
     }
 
     fn aims<'a>(&'a self, spec: &'a JobSpec, kind: &'a str) -> impl Iterator<Item = f64> + 'a {
@@ -504,7 +509,7 @@
                 self.writer.trash(crate::records::progress_key(&job.id, chunk));
             }
         }
-        if job.written_minimum.is_some() {
+        if job.written_minimum.is_some() || job.opened > 0 {
             self.writer.trash(crate::records::minimum_key(&job.id));
         }
         self.stops_due = true;
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -62,6 +62,15 @@
     pub dirty: bool,
 }
 
+/// What is expected of a job, in s after its submission.
+#[derive(Debug, Clone, Default)]
+pub struct Aims {
+    /// When it should be complete.
+    pub due_s: Option<f64>,
+    /// When it should have started, tightest aim first.
+    pub start_s: Vec<f64>,
+}
+
 /// A job that is not over, or not yet off all machines.
 #[derive(Debug)]
 pub struct Job {
@@ -125,16 +134,27 @@
     pub notes: VecDeque<String>,
     /// Since when it has been waiting for room, ms.
     pub waiting_since: u64,
+    /// Minimum, as last computed.
+    pub least: u32,
     /// Minimum in the store.
     pub written_minimum: Option<u32>,
+    /// Accepted by a version that marks how far its tasks may have been started.
+    pub marked: bool,
+    /// Tasks below this may be started: the store says so.
+    pub opened: u32,
+    /// What the store is to say.
+    pub opening: u32,
+    /// Whether the store says what `opened` does; `false` only for jobs of leaders without marks.
+    pub written_opened: bool,
+    /// Tasks from this on were not started by any earlier leader.
+    pub sure_from: u32,
 }
 
 impl Job {
     /// A job as it was accepted.
     pub fn new(
         record: JobRecord,
-        due_s: Option<f64>,
-        start_within_s: &[f64],
+        aims: &Aims,
         team: usize,
         image: u32,
         zones: usize,
@@ -152,8 +172,8 @@
             image,
             need: Room::of_task(&spec),
             submitted,
-            due: due_s.map(|d| submitted + d),
-            start_by: start_within_s.iter().map(|s| submitted + s).collect(),
+            due: aims.due_s.map(|d| submitted + d),
+            start_by: aims.start_s.iter().map(|s| submitted + s).collect(),
             inherited,
             slots: vec![Slot::Free; pieces],
             free: (0..spec.pieces).collect(),
@@ -176,7 +196,13 @@
             given_up: BTreeSet::new(),
             notes: VecDeque::new(),
             waiting_since: at.now,
+            least: 0,
             written_minimum: None,
+            marked: record.marked,
+            opened: 0,
+            opening: 0,
+            written_opened: true,
+            sure_from: 0,
             spec,
         }
     }
@@ -191,6 +217,16 @@
         (index / constants::PROGRESS_CHUNK_TASKS) as usize
     }
 
+    /// So far the store should let tasks be started so that `index` can be: some more than that, as
+    /// each step costs a write.
+    pub fn open_to(&self, index: u32) -> u32 {
+        if self.spec.is_gang() {
+            return self.spec.pieces;
+        }
+        let step = (self.spec.pieces / constants::OPEN_STEPS).max(constants::OPEN_LEAST);
+        (index / step + 1).saturating_mul(step).min(self.spec.pieces)
+    }
+
     /// The results of a chunk, as they are in memory.
     pub fn bits(&self, chunk: usize) -> Vec<bool> {
         let size = constants::PROGRESS_CHUNK_TASKS as usize;
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -100,9 +100,20 @@
         let limited = team.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         // Until everything an earlier leader started is accounted for, a task of an older job may be
         // on a machine that has not reported; so may unknown parts of a team's limit.
-        let unsure =
-            !self.settled(now) && (job.inherited || limited) || self.strangers > 0 && limited;
-        if unsure || now < job.pause_until { 0 } else { self.startable(job) }
+        let unsettled = !self.settled(now);
+        let unsure = limited && (unsettled || self.strangers > 0);
+        if unsure || now < job.pause_until {
+            return 0;
+        }
+        let all = self.startable(job);
+        if !(unsettled && job.inherited) {
+            return all;
+        }
+        // What the store says was never started can't be on any of them.
+        if job.spec.is_gang() {
+            return if job.sure_from == 0 { all } else { 0 };
+        }
+        all.min(job.free.range(job.sure_from..).count() as u32)
     }
 
     fn startable(&self, job: &Job) -> u32 {
@@ -427,10 +438,17 @@
     }
 
     fn plan(&mut self, key: u64, hosts: &[String], now: u64) {
+        let unsettled = !self.settled(now);
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let gang = job.spec.is_gang();
+        let from = if unsettled && job.inherited { job.sure_from } else { 0 };
         for name in hosts {
-            let Some(index) = job.free.pop_first() else { break };
+            let Some(index) = job.free.range(from..).next().copied() else { break };
+            job.free.remove(&index);
+            if index >= job.opened.max(job.opening) {
+                job.opening = job.open_to(index);
+                self.writer.opens.insert(key);
+            }
             let Some(host) = self.hosts.get_mut(name) else {
                 job.free.insert(index);
                 continue;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -172,10 +172,12 @@
     /// Reads everything that a new leader needs, again and again until it succeeds.
     fn start_loading(&self, term: &mut Term) {
         let (store, notes) = (self.store.clone(), term.notes.clone());
+        let marked = term.mandate.marked;
         term.helpers.spawn(async move {
             loop {
                 match load(&store).await {
-                    Ok((loaded, epoch)) => {
+                    Ok((mut loaded, epoch)) => {
+                        loaded.marked = marked;
                         let _ = notes.send(Note::Loaded(loaded, epoch)).await;
                         return;
                     }
@@ -472,7 +474,7 @@
     let (minimums, _) = store.list(MINIMUMS).await?;
     let (roster, _) = store.list(ROSTER).await?;
     let (images, _) = store.list(IMAGES).await?;
-    Ok((Loaded { jobs, progress, minimums, roster, images }, epoch))
+    Ok((Loaded { jobs, progress, minimums, roster, images, marked: false }, epoch))
 }
 
 /// Commits; if the outcome is anything but plain, reads the keys again, since a lost answer says
--- a/crates/controller/src/records.rs
+++ b/crates/controller/src/records.rs
@@ -3,11 +3,12 @@
 //! | key | what |
 //! | --- | --- |
 //! | `lead/now` | who leads; hangs on the leader's lease |
-//! | `lead/term` | the highest term so far; only grows |
+//! | `lead/term` | the highest token so far; only grows |
+//! | `lead/marks` | the value of `lead/term` that the last leader that keeps marks wrote |
 //! | `j/<job>` | an accepted job that is not over |
 //! | `f/<job>` | the final state of a job; written once, never changed |
 //! | `p/<job>/<chunk>` | which tasks of a job are done, as bits |
-//! | `m/<job>` | the job's minimum and mean task time (a hint for the next leader) |
+//! | `m/<job>` | the job's minimum and mean task time (hints for the next leader), and how far its tasks may have been started |
 //! | `r/record-<n>` | machines that may have tasks, and the images they hold (a hint) |
 //!
 //! Version 0.1.0 had `r/<machine>` and `i/<machine>` instead; both are read, and replaced by records of
@@ -25,7 +26,9 @@
 pub const LEAD_NOW: &str = "lead/now";
 /// The highest term.
 pub const LEAD_TERM: &str = "lead/term";
-/// Prefix of both.
+/// The term of the last leader that recorded how far tasks of jobs may have been started.
+pub const LEAD_MARKS: &str = "lead/marks";
+/// Prefix of these.
 pub const LEAD: &str = "lead/";
 /// Prefix of accepted jobs.
 pub const JOBS: &str = "j/";
@@ -56,6 +59,10 @@
     pub spec: JobSpec,
     /// Time of day when it was accepted, ms.
     pub at_ms: u64,
+    /// Its record of the minimum says how far its tasks may have been started. Missing in jobs that
+    /// version 0.1.0 accepted.
+    #[serde(default)]
+    pub marked: bool,
 }
 
 /// Value of `f/<job>`.
@@ -123,6 +130,9 @@
     pub timed: u32,
     /// Sum of those, ms.
     pub sum_ms: u64,
+    /// Tasks from this number on were never started, by any leader.
+    #[serde(default)]
+    pub opened: u32,
 }
 
 /// Value of `p/<job>/<chunk>`.
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -70,6 +70,7 @@
             minimums: store.list("m/"),
             roster: store.list("r/"),
             images: store.list("i/"),
+            marked: true,
         };
         let guard = Guard { key: LEAD_NOW.into(), stamp };
         let at = Moment { now, wall: 1_000_000 + now };
@@ -79,7 +80,7 @@
 
     fn submit(&mut self, spec: JobSpec) -> JobId {
         let id = spec.name_id.clone();
-        let record = JobRecord { spec, at_ms: 1_000_000 + self.now };
+        let record = JobRecord { spec, at_ms: 1_000_000 + self.now, marked: true };
         let value = serde_json::to_value(record).expect("a record");
         self.store.put(&job_key(&id), value.clone());
         let at = Moment { now: self.now, wall: 1_000_000 + self.now };
@@ -209,6 +210,8 @@
     play.flush();
     assert!(play.rostered("m-1"));
     play.now += 500;
+    assert_eq!(play.beat(&mut w), [], "nor before the store says that tasks of the job may run");
+    play.now += 500;
     assert_eq!(play.beat(&mut w).len(), 1);
 }
 
@@ -524,7 +527,7 @@
     play.settle(&mut [&mut w, &mut late]);
     assert_eq!((w.live().len(), w.started.len(), late.started.len()), (0, 1, 0));
     // A watch that lags behind brings the job's record once more.
-    let record = JobRecord { spec: job("req-000001", "array", 5), at_ms: 0 };
+    let record = JobRecord { spec: job("req-000001", "array", 5), at_ms: 0, marked: true };
     let value = serde_json::to_value(record).expect("a record");
     let at = Moment { now: play.now, wall: 0 };
     play.ledger.job_seen(&job_key(&id), value, at, false);
@@ -815,3 +818,60 @@
     let record = next.store.list("r/").remove(0).v;
     assert_eq!(record["images"][0][0], "img");
 }
+
+#[test]
+fn what_no_leader_has_started_does_not_wait_for_silent_machines_after_a_takeover() {
+    let mut play = Play::start();
+    let (mut near, mut cut) = (small("m-1", "a"), small("m-2", "b"));
+    play.submit(job("req-000001", "array", 300));
+    play.settle(&mut [&mut near, &mut cut]);
+    let queued = play.submit(job("req-000002", "group", 1));
+    // The leader is cut off together with m-2; m-1 is emptied.
+    let held: u32 = cut.live()[0].rsplit('/').next().expect("a number").parse().expect("a number");
+    let mut next = Play::lead(play.store.clone(), 2, 30_000);
+    near.end(&near.live()[0].clone(), Cause::Done);
+    let mut spare = small("m-3", "a");
+    next.settle(&mut [&mut near, &mut spare]);
+    assert!(!next.ledger.settled(next.now), "m-2 may still run {held}");
+    let fresh: Vec<String> = near.live().into_iter().chain(spare.live()).collect();
+    assert_eq!(fresh.len(), 2, "both machines have work: {fresh:?}");
+    assert!(fresh.contains(&format!("{queued}/0")), "a gang of which nothing was started");
+    let of_array = fresh.iter().find(|t| t.starts_with("req-000001/")).expect("an array's task");
+    let index: u32 = of_array.rsplit('/').next().expect("a number").parse().expect("a number");
+    assert!(index >= 32, "{index}: below the mark the old leader may have started it on m-2");
+}
+
+#[test]
+fn after_a_leader_without_marks_everything_waits_for_silent_machines() {
+    let mut play = Play::start();
+    let mut cut = small("m-2", "b");
+    play.submit(job("req-000001", "array", 300));
+    play.settle(&mut [&mut cut]);
+    // A leader of version 0.1.0 may have started any of the tasks without a mark.
+    let loaded = |store: &MemoryStore, marked| Loaded {
+        jobs: store.list("j/"),
+        minimums: store.list("m/"),
+        roster: store.list("r/"),
+        marked,
+        ..Loaded::default()
+    };
+    let mut store = play.store.clone();
+    let lead = |store: &mut MemoryStore, term: u64, marked: bool, now: u64| {
+        let stamp = store.put(LEAD_NOW, serde_json::json!({ "term": term }));
+        let guard = Guard { key: LEAD_NOW.into(), stamp };
+        let at = Moment { now, wall: 1_000_000 + now };
+        let loaded = loaded(store, marked);
+        let ledger = Ledger::new(setup(), term, guard, flavors(), loaded, at);
+        Play { ledger, store: store.clone(), now }
+    };
+    let mut next = lead(&mut store, 2, false, 30_000);
+    let mut spare = small("m-3", "a");
+    next.settle(&mut [&mut spare]);
+    assert_eq!(spare.started, [], "any task may be on m-2");
+    // And the leader after that one finds it written down.
+    let mut store = next.store.clone();
+    let mut third = lead(&mut store, 3, true, 33_000);
+    let mut spare = small("m-4", "a");
+    third.settle(&mut [&mut spare]);
+    assert_eq!(spare.started, []);
+}
