Machines that hear nothing are given back; only machines that reported are waited for

Rule: a machine whose reports arrive while answers don't reach it got new work for ever. Its reports show that answers had no effect; they renew no lease, and after three it is emptied and returned. Machines enter the roster with their first report now.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -6,8 +6,9 @@
 /// Length of the leadership lease, ms. Short, so that a crashed leader is replaced before users
 /// notice; long against a store answer that takes a few hundred ms.
 pub const LEADER_TTL_MS: u64 = 5_000;
-/// Pause between two extensions of the leadership lease, ms. Four tries fit into one lease.
-pub const LEADER_EXTEND_EVERY_MS: u64 = 1_200;
+/// Pause between two extensions of the leadership lease, ms. When the state service goes away, what is
+/// left of the lease is what workers are still answered for.
+pub const LEADER_EXTEND_EVERY_MS: u64 = 600;
 /// Pause before a failed extension is tried again, ms. An outage ends at an unknown moment and every
 /// lease has its full time then, so a quick retry resumes service soonest.
 pub const LEADER_RETRY_MS: u64 = 250;
@@ -147,6 +148,9 @@
 pub const FLEET_EVERY_MS: u64 = 1_000;
 /// Length of a block lease from the leader to a controller, ms (the design's 15 s).
 pub const BLOCK_LEASE_MS: u64 = 15_000;
+/// Answers in a row without effect after which a machine counts as hearing nothing. One or two get
+/// lost when a controller is slow or a connection dies.
+pub const DEAF_ANSWERS: u32 = 3;
 /// A machine that has refused a start for lack of room takes no new task for this long, ms.
 pub const NO_ROOM_PAUSE_MS: u64 = 3_000;
 /// Errors of distinct jobs in a row after which a machine counts as faulty.
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -1,4 +1,4 @@
-use super::{Ended, Held, Host, Job, Ledger, Phase, Slot, lease_over_ms};
+use super::{Ended, Expected, Held, Host, Job, Ledger, Phase, Slot, lease_over_ms};
 use hookway_clients::Delivery;
 use hookway_constants as constants;
 use hookway_wire::{
@@ -8,6 +8,9 @@
 /// Most commands in one answer, so that its only line stays far below 64 KiB.
 const ORDERS_AT_MOST: usize = 400;
 
+/// Why a machine is given back that reports, but takes no answer.
+const HEARS_NOTHING: &str = "it reports, but hears nothing";
+
 /// How a task left its place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Leave {
@@ -45,6 +48,12 @@
             return None;
         }
         host.reported = stamp;
+        self.judge_hearing(name, report, now);
+        self.expire_if_silent(name, now);
+        let host = self.hosts.get_mut(name)?;
+        if report.tenure <= host.dead_tenure {
+            return None;
+        }
         // The worker sent this one before it answered commands that came straight to it: what it says
         // is out of date, but the worker waits for an answer.
         let overtaken = stamp < host.newest;
@@ -64,6 +73,8 @@
             host.yard.clone_from(&report.yard);
             host.loaner = report.loaners;
         }
+        // Only now: a machine that never reported holds nothing, and the next leader need not wait for
+        // it.
         if !host.rostered {
             let at_ms = self.wall_at(now);
             self.writer.roster.want(name, at_ms);
@@ -81,6 +92,7 @@
         if !overtaken {
             self.take_report(name, report, now, false);
         }
+        let answered_before = self.hosts.get(name)?.last_answer;
         if let Some(host) = self.hosts.get_mut(name) {
             host.last_answer = now;
         }
@@ -93,7 +105,51 @@
         let orders = self.orders_for(name, now);
         let host = self.hosts.get_mut(name)?;
         host.soon = if orders.is_empty() { 0 } else { now + constants::REPORT_SOON_MS };
-        Some(CheckInAnswer { baton: self.term + host.bump, orders })
+        let baton = self.term + host.bump;
+        let mut expected = Expected { answered_before, ..Expected::default() };
+        expected.token = (baton > report.baton).then_some(baton);
+        for order in &orders {
+            match order {
+                Order::Run { piece, r#try } => expected.runs.push((piece.clone(), *r#try)),
+                Order::Reap { piece, r#try } => expected.reaps.push((piece.clone(), *r#try)),
+                Order::Kill { .. } => {}
+            }
+        }
+        host.expected = expected;
+        Some(CheckInAnswer { baton, orders })
+    }
+
+    /// Whether the worker took the last answer, as far as its next report shows it. A worker has one
+    /// report under way and takes no answer to an earlier one, so an answer without effect was not
+    /// heard and never will be: it renewed no lease. A machine that hears nothing for several answers
+    /// gets no new work and is given back; what is on it counts until its lease is surely over.
+    fn judge_hearing(&mut self, name: &str, report: &CheckIn, now: u64) {
+        let deaf_now = self.hosts.values().filter(|h| h.deaf >= constants::DEAF_ANSWERS).count();
+        // When many are, it is this node's answers that are late.
+        let few = deaf_now * 4 <= self.hosts.len().max(4);
+        let pause =
+            (self.setup.params.workers.report_s * 1000.0 * constants::LONGEST_REPORT) as u64;
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let expected = std::mem::take(&mut host.expected);
+        match expected.taken(report) {
+            None => {}
+            Some(true) => {
+                host.deaf = 0;
+                if host.closing == Some(HEARS_NOTHING) {
+                    tracing::info!("machine {name}: hears again");
+                    host.closing = None;
+                }
+            }
+            Some(false) => {
+                host.deaf += 1;
+                host.last_answer = expected.answered_before;
+                host.pause_until = host.pause_until.max(now + pause);
+                if host.deaf >= constants::DEAF_ANSWERS && host.closing.is_none() && few {
+                    tracing::info!("machine {name}: {HEARS_NOTHING}");
+                    host.closing = Some(HEARS_NOTHING);
+                }
+            }
+        }
     }
 
     /// Starts that should not wait for their workers' next reports: machine, address and commands. The
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -299,12 +299,10 @@
             let offer = (renting.flavor, renting.yard, renting.loaner);
             self.sold_out.insert(offer, now + constants::SOLD_OUT_MS);
         }
-        let at_ms = self.wall_at(now);
         for name in hosts.unwrap_or_default() {
             if self.buried.contains(&name) {
                 continue;
             }
-            self.writer.roster.want(&name, at_ms);
             let host = self.hosts.entry(name).or_insert_with(|| Host::new(now));
             if !host.heard {
                 host.flavor.clone_from(&request.flavor);
@@ -330,7 +328,6 @@
 
     /// The machine list, asked for at `asked`.
     pub fn listed(&mut self, list: &[ListedHost], asked: u64, now: u64) {
-        let at_ms = self.wall_at(now);
         for entry in list {
             let name = &entry.name_id;
             if self.buried.contains(name) {
@@ -349,7 +346,6 @@
                 let mut host = Host::new(now);
                 host.born = now.saturating_sub(age_ms);
                 self.hosts.insert(name.clone(), host);
-                self.writer.roster.want(name, at_ms);
             }
             let Some(host) = self.hosts.get_mut(name) else { continue };
             if !host.heard {
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -12,7 +12,7 @@
 
 pub use commit::{Commit, CommitResult, Learned};
 pub use fleet::FleetAction;
-pub use model::{Aims, Ended, Held, Host, Job, Kill, Phase, Recent, Slot};
+pub use model::{Aims, Ended, Expected, Held, Host, Job, Kill, Phase, Recent, Slot};
 
 use crate::blocks::Blocks;
 use crate::config::{OperatorSettings, Params};
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -2,7 +2,7 @@
 use crate::records::{FinalRecord, JobRecord};
 use hookway_constants as constants;
 use hookway_policy::Room;
-use hookway_wire::{Cause, JobId, JobSpec, JobState, PieceState};
+use hookway_wire::{Cause, CheckIn, JobId, JobSpec, JobState, PieceState};
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
 /// The newest so many members of a set; older ones are forgotten, so that memory stays bounded over
@@ -326,6 +326,35 @@
     pub cause: Cause,
 }
 
+/// What the worker's next report shows if it has taken an answer.
+#[derive(Debug, Clone, Default)]
+pub struct Expected {
+    /// The answer's token, if it was higher than the one that the report carried.
+    pub token: Option<u64>,
+    /// Starts: the attempts are there, in whatever state.
+    pub runs: Vec<(String, u64)>,
+    /// Attempts that are not there any more.
+    pub reaps: Vec<(String, u64)>,
+    /// The last answer before that one, ms.
+    pub answered_before: u64,
+}
+
+impl Expected {
+    /// Whether the answer was taken; `None` if it had nothing that would show.
+    pub fn taken(&self, report: &CheckIn) -> Option<bool> {
+        if self.token.is_none() && self.runs.is_empty() && self.reaps.is_empty() {
+            return None;
+        }
+        let there = |(piece, attempt): &(String, u64)| {
+            report.pieces.iter().any(|p| p.r#try == *attempt && p.piece == *piece)
+        };
+        let shown = self.token.is_none_or(|t| report.baton >= t)
+            && self.runs.iter().all(there)
+            && !self.reaps.iter().any(there);
+        Some(shown)
+    }
+}
+
 /// A machine.
 #[derive(Debug)]
 pub struct Host {
@@ -351,7 +380,11 @@
     pub soon: u64,
     /// Sessions up to this one are surely over.
     pub dead_tenure: u64,
-    /// Last time when anyone entitled could have answered its worker, ms.
+    /// What its next report shows if it has taken the last answer.
+    pub expected: Expected,
+    /// Answers in a row that it surely did not take.
+    pub deaf: u32,
+    /// Last time when anyone entitled may have answered its worker, and it may have heard, ms.
     pub last_answer: u64,
     /// Its entry in the roster is durable.
     pub rostered: bool,
@@ -399,6 +432,8 @@
             bump: 0,
             direct: false,
             soon: 0,
+            expected: Expected::default(),
+            deaf: 0,
             dead_tenure: 0,
             last_answer: now,
             rostered: false,
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -875,3 +875,101 @@
     third.settle(&mut [&mut spare]);
     assert_eq!(spare.started, []);
 }
+
+#[test]
+fn a_machine_that_reports_but_hears_nothing_is_given_back_and_holds_up_nobody() {
+    let mut play = Play::start();
+    let (mut deaf, mut near) = (small("m-1", "a"), small("m-2", "a"));
+    play.settle(&mut [&mut near]);
+    play.submit(job("req-000001", "group", 2));
+    play.settle(&mut [&mut deaf, &mut near]);
+    assert_eq!((deaf.live().len(), near.live().len()), (1, 1), "the gang runs on both");
+    // From here on no answer reaches m-1, although its reports arrive. Its part of the gang ends.
+    let lost_at = play.now;
+    deaf.end("req-000001/0", Cause::Peers);
+    deaf.end("req-000001/1", Cause::Peers);
+    near.end("req-000001/0", Cause::Peers);
+    near.end("req-000001/1", Cause::Peers);
+    let mut third = small("m-3", "a");
+    for _ in 0..5 {
+        play.now += 500;
+        let report = deaf.report();
+        play.ledger.check_in(&report, play.now);
+        play.flush();
+        play.settle(&mut [&mut near, &mut third]);
+    }
+    assert_eq!((near.live().len(), third.live().len()), (1, 1), "the gang runs elsewhere");
+    // Its lease is reckoned from the last answer that it may have heard, not from its reports.
+    let mut deleted = Vec::new();
+    while play.now < lost_at + lease_over_ms(&setup().params) + 6_000 {
+        play.now += 1_000;
+        let report = deaf.report();
+        play.ledger.check_in(&report, play.now);
+        play.flush();
+        play.settle(&mut [&mut near, &mut third]);
+        for action in play.ledger.fleet_round(play.now) {
+            if let FleetAction::Delete(names) = action {
+                deleted.extend(names);
+            }
+        }
+    }
+    assert!(deleted.contains(&"m-1".to_owned()), "given back");
+    assert!(!deleted.contains(&"m-2".to_owned()));
+}
+
+#[test]
+fn a_task_on_a_machine_that_hears_nothing_stays_there_until_its_lease_is_over() {
+    let mut play = Play::start();
+    let (mut deaf, mut near) = (small("m-1", "a"), small("m-2", "a"));
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut deaf]);
+    assert_eq!(deaf.live().len(), 1);
+    let heard_at = play.now;
+    let id = JobId::parse("req-000001").expect("an id");
+    // Its user withdraws the job; neither this nor anything else reaches m-1.
+    assert_eq!(play.ledger.withdraw(&id), Withdrawal::Pending);
+    play.flush();
+    while play.now < heard_at + 20_000 {
+        let report = deaf.report();
+        play.ledger.check_in(&report, play.now);
+        play.wait(1_000);
+        play.settle(&mut [&mut near]);
+    }
+    assert_eq!(near.started, []);
+    assert_eq!(play.stored_final(&id).as_deref(), Some("withdrawn"));
+}
+
+#[test]
+fn copies_of_reports_change_nothing_after_a_deletion_a_session_or_a_change_of_leader() {
+    let mut play = Play::start();
+    let (mut w, mut other) = (small("m-1", "a"), small("m-2", "a"));
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut w]);
+    let copy = w.report();
+    play.ledger.check_in(&copy, play.now);
+    // After its next session.
+    w.expire();
+    play.now += lease_over_ms(&setup().params) + 1_000;
+    play.settle(&mut [&mut other]);
+    play.beat(&mut w);
+    let before = play.ledger.status(&JobId::parse("req-000001").expect("an id"));
+    assert_eq!(play.ledger.check_in(&copy, play.now), None, "an older session");
+    assert_eq!(play.ledger.status(&JobId::parse("req-000001").expect("an id")), before);
+    assert_eq!(other.live(), ["req-000001/0"]);
+    // After the machine was deleted.
+    let copy = w.report();
+    play.ledger.check_in(&copy, play.now);
+    play.ledger.deleted(&["m-1".into()], play.now);
+    let hosts = play.ledger.host_count();
+    assert_eq!(play.ledger.check_in(&copy, play.now + 60_000), None, "it is gone");
+    assert_eq!(play.ledger.host_count(), hosts);
+    // After a change of leader: it carries the old token and settles nothing.
+    let copy = other.report();
+    play.ledger.check_in(&copy, play.now);
+    let mut next = Play::lead(play.store.clone(), 2, play.now);
+    let mut third = small("m-3", "a");
+    next.ledger.check_in(&copy, next.now);
+    next.settle(&mut [&mut third]);
+    assert!(!next.ledger.settled(next.now));
+    assert_eq!(third.started, [], "the task is still on m-2");
+}
