--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -103,7 +103,7 @@
 pub const SPARE_WINDOW_MS: u64 = 120_000;
 /// A machine is returned once it has been idle for this many times what a new one takes to boot and
 /// to fetch an image. 1 is the break-even of the cost; above it, late work is spared.
-pub const IDLE_RETURN_FACTOR: f64 = 0.4;
+pub const IDLE_RETURN_FACTOR: f64 = 1.0;
 /// Longest time between two reports, in the workers' nominal ones (protocol: a quarter more).
 pub const LONGEST_REPORT: f64 = 1.25;
 /// How long beyond that a new leader waits for machines of the roster before it returns those that
