--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -180,10 +180,6 @@
 pub const LATE_VICTIM_WEIGHT: f64 = 0.5;
 /// The same, if its job would be late for it.
 pub const TIGHT_VICTIM_WEIGHT: f64 = 3.0;
-/// A fetch may take this many times its nominal time (protocol: the rate varies by a third).
-pub const FETCH_SPREAD: f64 = 1.33;
-/// Weight of a gang's wait for an image if it misses an aim for its start by it.
-pub const MISSED_START_WEIGHT: f64 = 4.0;
 /// A command to stop that has had no effect is sent again with no grace after SnapshotS and this, ms.
 pub const STOP_PATIENCE_MS: u64 = 10_000;
 /// A job counts as late once its deadline is less than this many of its task times away.
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -112,17 +112,8 @@
     }
     let clearing =
         world.hosts.iter().any(|h| h.kept_for == Some(job_ix) && fetch_time(world, job, h) <= 0.0);
-    clearing || worth_evicting(world, job_ix, gang_fetch_cost(world, job, fetch))
-}
-
-/// What it costs, in CPU seconds, that a gang waits for its longest fetch: all of its places wait, and
-/// a start that comes too late for an aim that clearing machines would meet weighs more.
-pub(crate) fn gang_fetch_cost(world: &World, job: &JobView, fetch: f64) -> f64 {
     let whole = job.need.cpus * f64::from(job.pieces);
-    let slow = world.now + fetch * constants::FETCH_SPREAD;
-    let cleared = world.now + constants::EVICTION_DELAY_S;
-    let missed = job.start_by.iter().any(|by| slow > *by && cleared <= *by);
-    fetch * whole * if missed { constants::MISSED_START_WEIGHT } else { 1.0 }
+    clearing || worth_evicting(world, job_ix, fetch * whole)
 }
 
 /// Places up to `tasks` tasks of an array, or all of a gang; the world is updated.
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -94,10 +94,10 @@
         let longest = |h: &usize| crate::place::fetch_time(world, job, &world.hosts[*h]);
         found.hosts.iter().map(longest).fold(0.0, f64::max)
     };
+    let whole = job.need.cpus * f64::from(tasks);
     match (warm, any) {
         (Some((cost, warm)), Some((other, any))) => {
-            let waiting = crate::place::gang_fetch_cost(world, job, fetch(&any));
-            let dearer = cost > other + waiting;
+            let dearer = cost > other + fetch(&any) * whole;
             Some(if dearer { any } else { warm })
         }
         (warm, any) => warm.or(any).map(|(_, found)| found),
