--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -199,6 +199,9 @@
 pub const EMPTY_MACHINE_PENALTY_S: f64 = 3.0;
 /// What a machine costs that stays all free after the placement against a full one, likewise.
 pub const LOOSE_FIT_PENALTY_S: f64 = 4.0;
+/// What a machine costs that could hold a task of a gang, for any other task, likewise. Below the fetch
+/// of most images, so that images still decide.
+pub const GANG_HOST_PENALTY_S: f64 = 8.0;
 /// What a machine costs at twice the lowest price of a CPU, likewise.
 pub const PRICE_PENALTY_S: f64 = 2.0;
 /// Weight of a machine's missing image against its price when choosing where a task goes, s.
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -176,6 +176,8 @@
     needed: VecDeque<(u64, usize)>,
     /// Whether its jobs may use spot machines.
     loaners: bool,
+    /// Its jobs are gangs.
+    gangs: bool,
 }
 
 impl Ledger {
@@ -394,6 +396,7 @@
             images: HashSet::new(),
             needed: VecDeque::new(),
             loaners: true,
+            gangs: record.spec.is_gang(),
         });
         lane.need.cpus = lane.need.cpus.max(need.cpus);
         lane.need.gpus = lane.need.gpus.max(need.gpus);
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -65,6 +65,7 @@
         let world = World {
             now: now as f64 / 1000.0,
             cheapest_cpu: if cheapest_cpu.is_finite() { cheapest_cpu } else { 0.0 },
+            gang_needs: self.lanes.values().filter(|l| l.gangs).map(|l| l.need).collect(),
             jobs,
             hosts,
             teams,
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -40,6 +40,11 @@
     if host.held.is_empty() {
         cost += constants::EMPTY_MACHINE_PENALTY_S;
     }
+    // Machines that a gang's task needs whole are left to gangs while others have room: what would
+    // have to be stopped for them loses its work.
+    if !job.gang && world.gang_needs.iter().any(|need| host.total.fits(need)) {
+        cost += constants::GANG_HOST_PENALTY_S;
+    }
     // Dear machines last, so that they are the ones that fall idle and can be returned.
     let cheapest = world.cheapest_cpu;
     if cheapest > 0.0 {
@@ -334,6 +339,7 @@
         World {
             now: 0.0,
             cheapest_cpu: 0.25,
+            gang_needs: vec![],
             jobs,
             hosts,
             teams: vec![TeamView::default()],
@@ -420,6 +426,18 @@
         assert_eq!(place(&mut w).placements[0].hosts, [1]);
     }
 
+    #[test]
+    fn arrays_leave_machines_that_gangs_need_to_them_while_others_have_room() {
+        let mut large = host(0);
+        large.total = Room { cpus: 32.0, gpus: 0.0, ram: 64.0 };
+        large.free = large.total;
+        let mut w = world(vec![job(1.0, 6)], vec![large, host(1)]);
+        w.gang_needs = vec![Room { cpus: 30.0, gpus: 0.0, ram: 50.0 }];
+        let placed: Vec<usize> =
+            place(&mut w).placements.into_iter().flat_map(|p| p.hosts).collect();
+        assert_eq!(placed, [1, 1, 1, 1, 0, 0], "the rest goes there all the same");
+    }
+
     #[test]
     fn what_can_never_run_is_told() {
         let team = TeamView { limit: (4.0, 0.0), ..TeamView::default() };
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -178,6 +178,8 @@
     pub now: f64,
     /// The lowest current price per hour of one CPU, on any machine type; 0 if unknown.
     pub cheapest_cpu: f64,
+    /// What a task takes of each class of gangs that was seen of late.
+    pub gang_needs: Vec<Room>,
     /// Unfinished jobs.
     pub jobs: Vec<JobView>,
     /// Machines.
