--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -473,7 +473,11 @@
 
     fn ended_with(&mut self, name: &str, key: u64, held: &Held, cause: Cause, now: u64) {
         if cause == Cause::Done {
-            let took = held.running_since.map(|s| now.saturating_sub(s));
+            // After a silence nobody knows when it ended.
+            let heard = self.hosts.get(name).map_or(0, |h| h.last_answer);
+            let report_ms = self.setup.params.workers.report_s * 1000.0;
+            let silence = now.saturating_sub(heard) as f64 > 2.0 * report_ms;
+            let took = held.running_since.map(|s| now.saturating_sub(s)).filter(|_| !silence);
             let mean = self.jobs.get(&key).and_then(Job::solid_mean);
             self.complete(key, held.index, took);
             if let Some(host) = self.hosts.get_mut(name) {
