--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -117,11 +117,6 @@
 pub type Learned = (String, Option<KeyValue>);
 
 impl Commit {
-    /// A transaction alone, as it arrives when nobody waits for its outcome any more.
-    pub fn bare(transaction: Transaction) -> Self {
-        Self { transaction, items: Vec::new() }
-    }
-
     /// The keys that must be read again when the outcome is not plain success.
     pub fn keys(&self) -> Vec<String> {
         self.transaction.guards.iter().map(|g| g.key.clone()).collect()
--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -10,7 +10,9 @@
 };
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
 use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker};
-use hookway_wire::{Cause, CheckIn, CheckInAnswer, DirectOrders, Flavor, Guard, JobId, JobSpec};
+use hookway_wire::{
+    Cause, CheckIn, CheckInAnswer, DirectOrders, Flavor, Guard, JobId, JobSpec, Transaction,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,7 +31,10 @@
     Answer(usize, u64, CheckInAnswer),
     Direct(usize, u64, DirectOrders),
     Reply(u64, String, u64, Delivery),
-    Commit(Box<Commit>),
+    /// A transaction arrives at the store, in the term that sent it.
+    Commit(u64, Box<Commit>),
+    /// It arrives when its sender has given it up.
+    Late(Transaction),
 }
 
 struct Leader {
@@ -130,18 +135,19 @@
 
     /// Sends a message: usually soon, at times late, twice, or never.
     fn send(&mut self, make: impl Fn() -> Message) {
+        let direct = matches!(make(), Message::Direct(..));
         let mut copies = 1;
         if self.chance(40) {
             copies = 0;
-        } else if self.chance(60) {
+        } else if self.chance(if direct { 300 } else { 60 }) {
             copies = 2;
         }
         for copy in 0..copies {
-            let late = copy > 0 || self.chance(30);
-            let delay = if late {
-                self.rng.random_range(500..60_000)
-            } else {
-                self.rng.random_range(5..60)
+            let late = copy > 0 || self.chance(if direct { 250 } else { 30 });
+            let delay = match (late, self.rng.random_range(0..2)) {
+                (false, _) => self.rng.random_range(5..60),
+                (true, 0) => self.rng.random_range(500..6_000),
+                (true, _) => self.rng.random_range(500..60_000),
             };
             self.sent += 1;
             self.queue.insert((self.now + delay, self.sent), make());
@@ -294,9 +300,26 @@
         self.queue.insert((self.now + delay, self.sent), reply);
     }
 
+    /// A transaction is under way: it takes a while, and its answer may get lost.
     fn commit(&mut self, commit: Commit) {
+        let Some(leader) = &self.leader else { return };
+        let term = leader.term;
+        self.sent += 1;
+        let slow = self.chance(200);
+        let delay = if slow { self.rng.random_range(500..3_000) } else { 10 };
+        let at = (self.now + delay, self.sent);
+        self.queue.insert(at, Message::Commit(term, Box::new(commit)));
+    }
+
+    fn carry_out(&mut self, term: u64, commit: Commit) {
         let lost = self.chance(50);
         let late = lost && self.chance(500);
+        if late {
+            let delay = self.rng.random_range(100..20_000);
+            self.sent += 1;
+            let at = (self.now + delay, self.sent);
+            self.queue.insert(at, Message::Late(commit.transaction.clone()));
+        }
         let applied = if late { None } else { Some(self.store.commit(&commit.transaction)) };
         let result = match applied {
             Some(Ok(epoch)) if !lost => CommitResult::Applied(epoch),
@@ -307,17 +330,7 @@
                 )
             }
         };
-        if late {
-            // It is carried out later, if its guards still hold.
-            let twin = commit.transaction.clone();
-            let delay = self.rng.random_range(100..20_000);
-            self.sent += 1;
-            let at = (self.now + delay, self.sent);
-            if let Some(leader) = &mut self.leader {
-                leader.ledger.committed(commit, result, self.now);
-            }
-            self.queue.insert(at, Message::Commit(Box::new(Commit::bare(twin))));
-        } else if let Some(leader) = &mut self.leader {
+        if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
             leader.ledger.committed(commit, result, self.now);
         }
         self.look_at_finals();
@@ -386,8 +399,9 @@
                     leader.ledger.delivered(&name, token, delivery, now);
                 }
             }
-            Message::Commit(commit) => {
-                let _ = self.store.commit(&commit.transaction);
+            Message::Commit(term, commit) => self.carry_out(term, *commit),
+            Message::Late(transaction) => {
+                let _ = self.store.commit(&transaction);
                 self.look_at_finals();
             }
         }
@@ -395,10 +409,12 @@
 
     /// The rules, at each start.
     fn check_starts(&mut self, m: usize, before: usize) {
-        let started: Vec<String> =
-            self.machines[m].worker.started[before..].iter().map(|(t, _)| t.clone()).collect();
-        for task in started {
+        let started = self.machines[m].worker.started[before..].to_vec();
+        for (task, attempt) in started {
             self.starts += 1;
+            let earlier = &self.machines[m].worker.started[..before];
+            let again = earlier.iter().any(|(t, a)| *t == task && *a == attempt);
+            assert!(!again, "{task} attempt {attempt} starts a second time on m-{}", m + 1);
             for (other, machine) in self.machines.iter().enumerate() {
                 let twice = other != m && !machine.dead && machine.worker.live().contains(&task);
                 assert!(!twice, "{task} starts on m-{} while on m-{}", m + 1, other + 1);
