--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -115,8 +115,10 @@
     if fetch <= 0.0 {
         return false;
     }
-    let clearing =
-        world.hosts.iter().any(|h| h.kept_for == Some(job_ix) && fetch_time(world, job, h) <= 0.0);
+    // Machines are being cleared for it that all hold the image. Where some lack it, the gang waits for a
+    // fetch in any case, and had better begin.
+    let mut kept = world.hosts.iter().filter(|h| h.kept_for == Some(job_ix)).peekable();
+    let clearing = kept.peek().is_some() && kept.all(|h| fetch_time(world, job, h) <= 0.0);
     let whole = job.need.cpus * f64::from(job.pieces);
     clearing || worth_evicting(world, job_ix, fetch * whole)
 }
@@ -438,6 +440,24 @@
         assert_eq!(placed, [1, 1, 1, 1, 0, 0], "the rest goes there all the same");
     }
 
+    #[test]
+    fn a_gang_waits_for_machines_being_cleared_only_if_all_of_them_hold_its_image() {
+        let gang = JobView { gang: true, ..job(3.0, 2) };
+        let kept = |images: Vec<u32>, free: f64| {
+            let mut h = HostView { images, kept_for: Some(0), ..host(0) };
+            h.free.cpus = free;
+            h
+        };
+        // Two machines are free without the image, two that hold it are being cleared.
+        let hosts = vec![kept(vec![1], 0.0), kept(vec![1], 0.0), host(0), host(0)];
+        let mut w = world(vec![gang.clone()], hosts);
+        assert_eq!(place(&mut w).placements, [], "they will be clear before a fetch is over");
+        // One of the two that were cleared lacks it.
+        let hosts = vec![kept(vec![1], 4.0), kept(vec![], 4.0), host(0)];
+        let mut w = world(vec![gang], hosts);
+        assert_eq!(place(&mut w).placements.len(), 1, "the fetch may begin");
+    }
+
     #[test]
     fn what_can_never_run_is_told() {
         let team = TeamView { limit: (4.0, 0.0), ..TeamView::default() };
