Fleet: one request at a time for each offer, and refused ones come round less often

A refusal counts for 15 s, and the queue held the same offers several times, so ordinary large machines were never asked for: 1,490 of 2,148 CPUs were up while 3,000 were waited for, and gangs waited for machines that were there for the asking.

--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -14,6 +14,15 @@
     Delete(Vec<String>),
 }
 
+/// What the cloud said of a type, zone and kind of late.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Refusals {
+    /// Not asked for until then, ms.
+    until: u64,
+    /// Requests in a row that brought nothing.
+    in_a_row: u32,
+}
+
 /// A rental under way.
 #[derive(Debug, Clone)]
 pub(super) struct Renting {
@@ -34,9 +43,17 @@
                 };
                 for loaner in [false, true] {
                     let price = if loaner { flavor.market_price } else { Some(flavor.hourly) };
-                    let sold_out =
-                        self.sold_out.get(&(f, yard, loaner)).is_some_and(|until| now < *until);
-                    if let Some(price) = price.filter(|_| !sold_out) {
+                    let sold_out = self
+                        .sold_out
+                        .get(&(f, yard, loaner))
+                        .is_some_and(|refusals| now < refusals.until);
+                    // One request at a time for each: what it brings counts as coming, and asking for
+                    // more before its answer only makes a queue.
+                    let asked = self
+                        .renting
+                        .iter()
+                        .any(|r| (r.flavor, r.yard, r.loaner) == (f, yard, loaner));
+                    if let Some(price) = price.filter(|_| !sold_out && !asked) {
                         offers.push(Offer { flavor: f, yard, loaner, price });
                     }
                 }
@@ -82,7 +99,9 @@
         let mut left = u32::try_from(room).unwrap_or(u32::MAX);
         for rent in plan.rent {
             let count = rent.count.min(constants::RENT_AT_MOST).min(left);
-            if count == 0 {
+            // No more requests than the cloud takes within about a second: one that waits in a queue is
+            // out of date when its turn comes.
+            if count == 0 || self.renting.len() >= self.setup.params.cloud.rps.max(2.0) as usize {
                 continue;
             }
             left -= count;
@@ -295,9 +314,16 @@
         let renting = self.renting.swap_remove(i);
         let got = hosts.as_ref().map_or(0, Vec::len);
         tracing::info!("rental {}: {got} of {}", renting.hire, renting.count);
+        let offer = (renting.flavor, renting.yard, renting.loaner);
         if got < renting.count as usize {
-            let offer = (renting.flavor, renting.yard, renting.loaner);
-            self.sold_out.insert(offer, now + constants::SOLD_OUT_MS);
+            // An offer that is refused again and again is asked for less and less often, so that every
+            // other one has its turn before it comes round.
+            let refusals = self.sold_out.entry(offer).or_default();
+            let pause = constants::SOLD_OUT_MS << refusals.in_a_row.min(8);
+            refusals.until = now + pause.min(constants::SOLD_OUT_MAX_MS);
+            refusals.in_a_row = if got == 0 { refusals.in_a_row + 1 } else { 0 };
+        } else {
+            self.sold_out.remove(&offer);
         }
         for name in hosts.unwrap_or_default() {
             if self.buried.contains(&name) {
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -973,3 +973,29 @@
     assert!(!next.ledger.settled(next.now));
     assert_eq!(third.started, [], "the task is still on m-2");
 }
+
+#[test]
+fn a_cloud_that_refuses_is_asked_for_everything_it_has() {
+    // Much work, a cloud that has only the dearest of many offers, and three answers a second.
+    let mut play = Play::start();
+    play.submit(job("req-000001", "array", 20_000));
+    let mut waiting: Vec<hookway_wire::RentRequest> = Vec::new();
+    let mut asked = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        play.now += 1_000;
+        for action in play.ledger.fleet_round(play.now) {
+            if let FleetAction::Rent(request) = action {
+                let offer = (request.yard.clone(), request.loaners);
+                let twice = waiting.iter().any(|w| (w.yard.clone(), w.loaners) == offer);
+                assert!(!twice, "one request at a time for each offer");
+                asked.insert(offer);
+                waiting.push(request);
+            }
+        }
+        assert!(waiting.len() <= 4, "no queue of requests that are out of date");
+        for request in waiting.drain(..waiting.len().min(3)) {
+            play.ledger.rented(&request, None, play.now);
+        }
+    }
+    assert_eq!(asked.len(), 4, "each zone and kind had its turn: {asked:?}");
+}
