--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -129,7 +129,7 @@
         .iter()
         .enumerate()
         .filter(|(i, _)| job.flavors.get(*i).copied().unwrap_or(false))
-        .map(|(_, f)| f.fetch_s(job.image_gb))
+        .map(|(_, f)| f.ready_s + f.fetch_s(job.image_gb))
         .fold(f64::INFINITY, f64::min);
     if fastest.is_finite() { fastest } else { 0.0 }
 }
