--- a/crates/controller/tests/api.rs
+++ b/crates/controller/tests/api.rs
@@ -9,7 +9,8 @@
 use hookway_controller::ledger::{Lookup, Withdrawal};
 use hookway_controller::node::{Ask, CheckInReply};
 use hookway_controller::peers::Peers;
-use hookway_testkit::SETTINGS;
+use hookway_controller::records::job_key;
+use hookway_testkit::{SETTINGS, StoreServer};
 use hookway_wire::{CheckInAnswer, ErrorBody, Flavor, JobId, JobState, JobStatus};
 use salvo::Service;
 use salvo::http::StatusCode;
@@ -43,6 +44,11 @@
 
 /// A node's API with a scripted actor behind it and nothing where the state service should be.
 fn api(node: Node, flavors_known: bool) -> Service {
+    api_at(node, flavors_known, View::default(), None)
+}
+
+/// The same, with a view of who leads and a state service.
+fn api_at(node: Node, flavors_known: bool, seen: View, store: Option<&str>) -> Service {
     let (tx, mut asks) = mpsc::channel(16);
     tokio::spawn(async move {
         while let Some(ask) = asks.recv().await {
@@ -85,10 +91,11 @@
         ready_s: 45.0,
         yards: vec!["a".into()],
     };
-    let (_, view) = watch::channel(View::default());
+    let (_, view) = watch::channel(seen);
     let (_, flavors) = watch::channel(flavors_known.then(|| Arc::new(vec![flavor])));
-    let store = StoreClient::new(&settings.outside.state, 2000.0);
-    let peers = Peers::new(HashMap::new());
+    let store = StoreClient::new(store.unwrap_or(&settings.outside.state), 2000.0);
+    // Nobody listens there.
+    let peers = Peers::new(HashMap::from([("worker-1".into(), "127.0.0.1:1".into())]));
     let desk = Desk::new(settings.settings, settings.label, store, peers, tx, view, flavors);
     service(Arc::new(desk))
 }
@@ -188,3 +195,41 @@
     assert_eq!(status, StatusCode::MISDIRECTED_REQUEST);
     assert_eq!(text, r#"{"Foreman":"worker-2"}"#);
 }
+
+#[tokio::test]
+async fn a_job_is_known_whoever_is_asked_as_long_as_the_state_service_answers() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let id = JobId::parse("req-000007").expect("an id");
+    let spec = JOB.replace("000412", "000007");
+    let spec: serde_json::Value = serde_json::from_str(&spec).expect("JSON");
+    let record = serde_json::json!({ "spec": spec, "at_ms": 0 });
+    server.with(|store| store.put(&job_key(&id), record));
+    let sees = |leader: Option<&str>| View { leader: leader.map(str::to_owned), mandate: None };
+    // The leader has not seen it yet; nobody leads; the leader can't be reached; it is this node, as
+    // far as its view goes, while it is not entitled.
+    for (node, leader) in [
+        (Node::Leads, None),
+        (Node::Follows, None),
+        (Node::Follows, Some("worker-1")),
+        (Node::Follows, Some("worker-0")),
+    ] {
+        let api = api_at(node, true, sees(leader), Some(&address));
+        let (status, text, _) = get(&api, "/api/jobs/req-000007").await;
+        let told: JobStatus = serde_json::from_str(&text).expect("a status");
+        assert_eq!((status, told.status), (StatusCode::OK, JobState::Queued), "{leader:?}");
+        let (status, ..) = get(&api, "/api/jobs/req-000008").await;
+        assert_eq!(
+            status,
+            StatusCode::NOT_FOUND,
+            "what is in the store nowhere was never accepted"
+        );
+    }
+    // While the store is away as well, absence can't be told; as soon as it is back, the job can.
+    let api = api_at(Node::Follows, true, sees(Some("worker-1")), Some(&address));
+    server.refuse(true);
+    let (status, _, retry) = get(&api, "/api/jobs/req-000007").await;
+    assert_eq!((status, retry), (StatusCode::SERVICE_UNAVAILABLE, true));
+    server.refuse(false);
+    assert_eq!(get(&api, "/api/jobs/req-000007").await.0, StatusCode::OK);
+}
