--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -552,6 +552,17 @@
         expected >= 2 && now >= latest + limit
     }
 
+    /// Whether some worker has missed its report.
+    pub fn some_silent(&self, now: u64) -> bool {
+        let report_ms = self.setup.params.workers.report_s * 1000.0;
+        let late = (report_ms * constants::LONGEST_REPORT) as u64 + constants::REPORT_SOON_MS;
+        let lease = lease_over_ms(&self.setup.params);
+        let silent = |h: &Host| {
+            h.heard && !h.held.is_empty() && (late..lease).contains(&(now - h.last_answer.min(now)))
+        };
+        self.hosts.values().any(silent)
+    }
+
     /// The node could not act as leader for a while (its lease was in doubt) and can again.
     pub fn resumed(&mut self, now: u64) {
         self.resumed_at = now;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -404,7 +404,9 @@
         // A long list takes time to read.
         let list_every = constants::CLOUD_LIST_EVERY_MS
             + constants::CLOUD_LIST_PER_HOST_MS * ledger.host_count() as u64;
-        if term.last_list.is_none_or(|l| now >= l + list_every) {
+        let due = |every: u64| term.last_list.is_none_or(|l| now >= l + every);
+        // A machine that has missed its report may be gone, which the list proves.
+        if due(list_every) || due(constants::CLOUD_LIST_EVERY_MS) && ledger.some_silent(now) {
             term.last_list = Some(now);
             let (cloud, notes) = (self.cloud.clone(), term.notes.clone());
             let clock = self.clock;
