Fleet: a refused offer counts for 15 s again, however often it was refused

What is refused there comes back when this service returns a machine itself, and up to 60 s went by before it was asked for again. One request at a time for each offer is enough for all of them to have their turn.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -95,8 +95,6 @@
 pub const LIST_PAGE: u32 = 500;
 /// How long a type, zone and kind counts as sold out after a refusal, ms.
 pub const SOLD_OUT_MS: u64 = 15_000;
-/// The same after refusals in a row, which double it, at most, ms.
-pub const SOLD_OUT_MAX_MS: u64 = 60_000;
 /// A machine that is still booting after this many times its nominal boot time is given up.
 pub const BOOT_GIVE_UP_FACTOR: f64 = 4.0;
 /// Added to that, ms.
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -14,15 +14,6 @@
     Delete(Vec<String>),
 }
 
-/// What the cloud said of a type, zone and kind of late.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Refusals {
-    /// Not asked for until then, ms.
-    until: u64,
-    /// Requests in a row that brought nothing.
-    in_a_row: u32,
-}
-
 /// A rental under way.
 #[derive(Debug, Clone)]
 pub(super) struct Renting {
@@ -43,10 +34,8 @@
                 };
                 for loaner in [false, true] {
                     let price = if loaner { flavor.market_price } else { Some(flavor.hourly) };
-                    let sold_out = self
-                        .sold_out
-                        .get(&(f, yard, loaner))
-                        .is_some_and(|refusals| now < refusals.until);
+                    let sold_out =
+                        self.sold_out.get(&(f, yard, loaner)).is_some_and(|until| now < *until);
                     // One request at a time for each: what it brings counts as coming, and asking for
                     // more before its answer only makes a queue.
                     let asked = self
@@ -314,16 +303,9 @@
         let renting = self.renting.swap_remove(i);
         let got = hosts.as_ref().map_or(0, Vec::len);
         tracing::info!("rental {}: {got} of {}", renting.hire, renting.count);
-        let offer = (renting.flavor, renting.yard, renting.loaner);
         if got < renting.count as usize {
-            // An offer that is refused again and again is asked for less and less often, so that every
-            // other one has its turn before it comes round.
-            let refusals = self.sold_out.entry(offer).or_default();
-            let pause = constants::SOLD_OUT_MS << refusals.in_a_row.min(8);
-            refusals.until = now + pause.min(constants::SOLD_OUT_MAX_MS);
-            refusals.in_a_row = if got == 0 { refusals.in_a_row + 1 } else { 0 };
-        } else {
-            self.sold_out.remove(&offer);
+            let offer = (renting.flavor, renting.yard, renting.loaner);
+            self.sold_out.insert(offer, now + constants::SOLD_OUT_MS);
         }
         for name in hosts.unwrap_or_default() {
             if self.buried.contains(&name) {
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -137,7 +137,7 @@
     resumed_at: u64,
     writer: Writer,
     decided: Vec<(JobId, FinalRecord)>,
-    sold_out: HashMap<(usize, usize, bool), fleet::Refusals>,
+    sold_out: HashMap<(usize, usize, bool), u64>,
     renting: Vec<fleet::Renting>,
     deleting: HashSet<String>,
     last_round: u64,
