--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -2,13 +2,13 @@
 use super::{Ledger, Slot};
 use crate::config::Params;
 use crate::records::{
-    FinalRecord, MinimumRecord, ProgressRecord, final_key, job_key, minimum_key, progress_key,
-    roster_key,
+    FinalRecord, LANES, LaneRecord, MinimumRecord, ProgressRecord, final_key, job_key, minimum_key,
+    progress_key, roster_key,
 };
 use hookway_constants as constants;
 use hookway_policy::needs_rewrite;
 use hookway_wire::{Change, Guard, JobId, JobState, KeyValue, Transaction};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Bytes of values that one transaction may hold; the limit is 64 KiB in all.
 const TRANSACTION_BYTES: usize = 48 * 1024;
@@ -45,6 +45,8 @@
     old_entries: HashMap<String, String>,
     trash: VecDeque<String>,
     minimums: BTreeSet<u64>,
+    /// What is known of the lanes has changed.
+    pub lanes: bool,
     /// Jobs of which tasks wait for the store to let them be started.
     pub opens: BTreeSet<u64>,
     bucket: Bucket,
@@ -65,6 +67,7 @@
             old_entries: HashMap::new(),
             trash: VecDeque::new(),
             minimums: BTreeSet::new(),
+            lanes: false,
             opens: BTreeSet::new(),
             bucket: Bucket::new(rate * constants::LEADER_WRITE_SHARE, now),
             minimum_bucket: Bucket::new(rate * constants::MINIMUM_WRITE_SHARE, now),
@@ -92,6 +95,7 @@
     Roster(u64, Vec<(String, Vec<u32>)>),
     Trash(String),
     Minimum(u64, MinimumRecord),
+    Lanes,
 }
 
 /// A transaction with what it stands for.
@@ -156,6 +160,7 @@
             commit.items.push(Item::Trash(key));
         }
         self.add_minimums(&mut commit, most, now);
+        self.add_lanes(&mut commit, most, now);
         self.add_hints(&mut commit, most, now, &mut bytes);
         if commit.transaction.apply.is_empty() {
             return None;
@@ -271,6 +276,27 @@
         }
     }
 
+    /// What the next leader should know of the lanes; one record for all, written when one changes.
+    fn add_lanes(&mut self, commit: &mut Commit, most: usize, now: u64) {
+        if !self.writer.lanes
+            || commit.transaction.apply.len() >= most
+            || self.writer.minimum_bucket.fill(now) < 1.0
+        {
+            return;
+        }
+        self.writer.lanes = false;
+        let lanes: BTreeMap<&String, LaneRecord> =
+            self.lanes.iter().map(|(name, lane)| (name, lane.record())).collect();
+        let Ok(value) = serde_json::to_value(&lanes) else { return };
+        // It is a hint: where there are too many lanes for one value, the next leader does without.
+        if value.to_string().len() as f64 > self.setup.params.state.value_kb * 1024.0 {
+            return;
+        }
+        self.writer.minimum_bucket.units -= 1.0;
+        commit.transaction.apply.push(Change::put(LANES, value));
+        commit.items.push(Item::Lanes);
+    }
+
     fn add_minimum(&mut self, commit: &mut Commit, key: u64) {
         let Some(job) = self.jobs.get(&key).filter(|j| j.live()) else { return };
         let record = MinimumRecord {
@@ -362,7 +388,7 @@
                     }
                 }
             }
-            Item::Trash(_) => {}
+            Item::Trash(_) | Item::Lanes => {}
         }
     }
 
@@ -377,6 +403,7 @@
             Item::Chunk(key, chunk, _) => self.queue_if_needed(key, chunk),
             Item::Roster(number, _) => self.writer.roster.again(number),
             Item::Trash(key) => self.writer.trash.push_back(key),
+            Item::Lanes => self.writer.lanes = true,
             Item::Minimum(key, _) => {
                 let waits = |j: &super::Job| j.opening > j.opened || !j.written_opened;
                 if self.jobs.get(&key).is_some_and(waits) {
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -17,7 +17,7 @@
 use crate::blocks::Blocks;
 use crate::config::{OperatorSettings, Params};
 use crate::records::{
-    FinalRecord, ImagesRecord, JobRecord, MinimumRecord, ProgressRecord, RosterRecord,
+    FinalRecord, ImagesRecord, JobRecord, LaneRecord, MinimumRecord, ProgressRecord, RosterRecord,
 };
 use commit::Writer;
 use hookway_constants as constants;
@@ -48,6 +48,8 @@
     pub roster: Vec<KeyValue>,
     /// `i/`.
     pub images: Vec<KeyValue>,
+    /// `c/lanes`.
+    pub lanes: Option<KeyValue>,
     /// The leader before kept marks of how far tasks of jobs may have been started.
     pub marked: bool,
 }
@@ -180,6 +182,26 @@
     gangs: bool,
 }
 
+impl Lane {
+    /// A lane as the store knows it.
+    fn known(record: &LaneRecord) -> Self {
+        Self {
+            need: record.need,
+            image_gb: record.image_gb,
+            images: HashSet::new(),
+            needed: VecDeque::new(),
+            loaners: record.loaners,
+            gangs: record.gangs,
+        }
+    }
+
+    /// What the store should know of it.
+    fn record(&self) -> LaneRecord {
+        let (need, image_gb) = (self.need, self.image_gb);
+        LaneRecord { need, image_gb, loaners: self.loaners, gangs: self.gangs }
+    }
+}
+
 impl Ledger {
     /// The ledger of a new leader. `at` must be read after the leadership was won.
     pub fn new(
@@ -232,6 +254,16 @@
     }
 
     fn load(&mut self, loaded: Loaded, at: Moment) {
+        // Without this a leader that finds no job of a class would return the machines that stand by
+        // for it.
+        let lanes = loaded.lanes.map(|kv| serde_json::from_value(kv.v));
+        match lanes.transpose() {
+            Ok(lanes) => {
+                let lanes: BTreeMap<String, LaneRecord> = lanes.unwrap_or_default();
+                self.lanes.extend(lanes.into_iter().map(|(name, r)| (name, Lane::known(&r))));
+            }
+            Err(e) => tracing::error!("{}: can't be read: {e}", crate::records::LANES),
+        }
         for kv in loaded.jobs {
             self.job_seen(&kv.key, kv.v, at, true);
         }
@@ -390,20 +422,17 @@
             record.spec.image_gb
         );
         let need = hookway_policy::Room::of_task(&record.spec);
-        let lane = self.lanes.entry(record.spec.lane.clone()).or_insert_with(|| Lane {
-            need,
-            image_gb: 0.0,
-            images: HashSet::new(),
-            needed: VecDeque::new(),
-            loaners: true,
-            gangs: record.spec.is_gang(),
-        });
+        let fresh = LaneRecord { need, image_gb: 0.0, loaners: true, gangs: record.spec.is_gang() };
+        let before = self.lanes.get(&record.spec.lane).map(Lane::record);
+        let lane =
+            self.lanes.entry(record.spec.lane.clone()).or_insert_with(|| Lane::known(&fresh));
         lane.need.cpus = lane.need.cpus.max(need.cpus);
         lane.need.gpus = lane.need.gpus.max(need.gpus);
         lane.need.ram = lane.need.ram.max(need.ram);
         lane.image_gb = lane.image_gb.max(record.spec.image_gb);
         lane.images.insert(image);
         lane.loaners &= record.spec.loaners;
+        self.writer.lanes |= before != Some(lane.record());
         let job = Job::new(record, &aims, team, image, zones, inherited, at);
         self.by_id.insert(id, key);
         self.jobs.insert(key, job);
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -5,7 +5,7 @@
 use crate::ledger::{
     Commit, CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal,
 };
-use crate::records::{IMAGES, JOBS, MINIMUMS, PROGRESS, ROSTER};
+use crate::records::{IMAGES, JOBS, LANES, MINIMUMS, PROGRESS, ROSTER};
 use hookway_clients::{
     CloudClient, CloudError, CommitOutcome, Delivery, RentOutcome, StoreClient, StoreError,
     WorkerClient,
@@ -476,7 +476,8 @@
     let (minimums, _) = store.list(MINIMUMS).await?;
     let (roster, _) = store.list(ROSTER).await?;
     let (images, _) = store.list(IMAGES).await?;
-    Ok((Loaded { jobs, progress, minimums, roster, images, marked: false }, epoch))
+    let lanes = store.get(LANES).await?;
+    Ok((Loaded { jobs, progress, minimums, roster, images, lanes, marked: false }, epoch))
 }
 
 /// Commits; if the outcome is anything but plain, reads the keys again, since a lost answer says
--- a/crates/controller/src/records.rs
+++ b/crates/controller/src/records.rs
@@ -10,16 +10,20 @@
 //! | `p/<job>/<chunk>` | which tasks of a job are done, as bits |
 //! | `m/<job>` | the job's minimum and mean task time (hints for the next leader), and how far its tasks may have been started |
 //! | `r/record-<n>` | machines that may have tasks, and the images they hold (a hint) |
+//! | `c/lanes` | what classes of jobs need (a hint for the next leader) |
 //!
 //! Version 0.1.0 had `r/<machine>` and `i/<machine>` instead; both are read, and replaced by records of
 //! many machines.
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
+use hookway_policy::Room;
 use hookway_wire::{JobId, JobSpec, JobState, JobStatus};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// What classes of jobs need.
+pub const LANES: &str = "c/lanes";
 /// Prefix of the image records of version 0.1.0.
 pub const IMAGES: &str = "i/";
 /// Who leads.
@@ -114,6 +118,19 @@
     pub images: Vec<(String, f64)>,
 }
 
+/// What `c/lanes` says of a class of jobs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LaneRecord {
+    /// The largest task.
+    pub need: Room,
+    /// The largest image, GB.
+    pub image_gb: f64,
+    /// Whether its jobs may use spot machines.
+    pub loaners: bool,
+    /// Its jobs are gangs.
+    pub gangs: bool,
+}
+
 /// Value of `i/<machine>`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ImagesRecord {
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -70,6 +70,7 @@
             minimums: store.list("m/"),
             roster: store.list("r/"),
             images: store.list("i/"),
+            lanes: store.get("c/lanes"),
             marked: true,
         };
         let guard = Guard { key: LEAD_NOW.into(), stamp };
@@ -999,3 +1000,36 @@
     }
     assert_eq!(asked.len(), 4, "each zone and kind had its turn: {asked:?}");
 }
+
+#[test]
+fn a_machine_that_stands_by_for_a_class_stays_through_a_change_of_leader() {
+    // The aims want this class started within less than a machine takes to boot.
+    let aim = "kind = \"wait\"\nclass = \"train\"\nwithin_s = 5.0\nshare = 0.8\n[[settings.objectives]]\n";
+    let settings = SETTINGS.replace("kind = \"finished\"", &format!("{aim}kind = \"finished\""));
+    let setup = Setup { params: Settings::parse(&settings).expect("sound").settings, ..setup() };
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "group", 1));
+    play.settle(&mut [&mut w]);
+    w.end("req-000001/0", Cause::Done);
+    play.settle(&mut [&mut w]);
+    assert!(play.store.list("j/").is_empty(), "no job of the class is left");
+    // The next leader never saw one.
+    let stamp = play.store.put(LEAD_NOW, serde_json::json!({ "term": 5_000 }));
+    let loaded = Loaded {
+        roster: play.store.list("r/"),
+        lanes: play.store.get("c/lanes"),
+        marked: true,
+        ..Loaded::default()
+    };
+    let guard = Guard { key: LEAD_NOW.into(), stamp };
+    let at = Moment { now: 20_000, wall: 1_020_000 };
+    let ledger = Ledger::new(setup, 5_000, guard, flavors(), loaded, at);
+    let mut next = Play { ledger, store: play.store.clone(), now: 20_000 };
+    for _ in 0..60 {
+        next.settle(&mut [&mut w]);
+        for action in next.ledger.fleet_round(next.now) {
+            assert!(!matches!(action, FleetAction::Delete(_)), "it was kept for the next gang");
+        }
+    }
+}
--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -175,6 +175,7 @@
             minimums: self.store.list("m/"),
             roster: self.store.list("r/"),
             images: vec![],
+            lanes: self.store.get("c/lanes"),
             marked: true,
         };
         let guard = Guard { key: LEAD_NOW.into(), stamp };
