A refused direct start holds its place until a report shows that no copy of it ran

Found by reading: a copy of the command may be carried out before the refused one. A single lost answer does not close a machine for a report interval any more; two in a row do.

--- a/crates/clients/src/worker.rs
+++ b/crates/clients/src/worker.rs
@@ -9,7 +9,8 @@
 pub enum Delivery {
     /// Carried out; the worker's report after them.
     Done(CheckIn),
-    /// Surely not carried out, now or later: the worker has a higher token or another session.
+    /// Not carried out: the worker has a higher token, or is in another session. A copy may have been,
+    /// before.
     Refused,
     /// Surely not sent.
     NotSent,
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -143,7 +143,10 @@
             Some(false) => {
                 host.deaf += 1;
                 host.last_answer = expected.answered_before;
-                host.pause_until = host.pause_until.max(now + pause);
+                // One answer may get lost by itself.
+                if host.deaf > 1 {
+                    host.pause_until = host.pause_until.max(now + pause);
+                }
                 if host.deaf >= constants::DEAF_ANSWERS && host.closing.is_none() && few {
                     tracing::info!("machine {name}: {HEARS_NOTHING}");
                     host.closing = Some(HEARS_NOTHING);
@@ -237,7 +240,9 @@
                     self.take_report(name, &report, now, true);
                 }
             }
-            Delivery::Refused => self.not_started(name, token),
+            // This copy was refused. Whether another one was carried out before shows in the next report
+            // with a higher token.
+            Delivery::Refused => {}
             Delivery::NotSent => {
                 self.not_started(name, token);
                 if let Some(host) = self.hosts.get_mut(name) {
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1033,3 +1033,20 @@
         }
     }
 }
+
+#[test]
+fn a_refused_direct_start_holds_its_place_until_a_report_shows_that_no_copy_was_carried_out() {
+    let mut play = Play::start();
+    let (mut w, mut other) = (small("m-1", "a"), small("m-2", "a"));
+    let orders = with_a_direct_start(&mut play, &mut w);
+    // A copy of the command is carried out; then the worker takes an answer with a higher token, and
+    // the command itself is refused.
+    w.orders(&orders).expect("carried out");
+    w.baton += 1;
+    assert_eq!(w.orders(&orders), None);
+    play.ledger.delivered("m-1", orders.baton, Delivery::Refused, play.now);
+    play.settle(&mut [&mut other]);
+    assert_eq!(other.started, [], "it runs on m-1");
+    play.settle(&mut [&mut w, &mut other]);
+    assert_eq!((w.live().len(), other.started.len()), (1, 0));
+}
