--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -8,27 +8,11 @@
     CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal, lease_over_ms,
 };
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
-use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker};
+use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker, flavors};
 use hookway_wire::{
-    Cause, Change, Flavor, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order,
-    Transaction,
+    Cause, Change, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order, Transaction,
 };
 
-fn flavors() -> Vec<Flavor> {
-    vec![Flavor {
-        label: "small".into(),
-        vcpus: 4.0,
-        gpus: 0.0,
-        ram_gb: 16.0,
-        local_gb: 50.0,
-        fetch_gb_per_s: 0.5,
-        hourly: 1.0,
-        market_price: Some(0.3),
-        ready_s: 20.0,
-        yards: vec!["a".into(), "b".into()],
-    }]
-}
-
 fn job(id: &str, shape: &str, pieces: u32) -> JobSpec {
     let text = format!(
         r#"{{"NameId":"{id}","Lane":"train","Owner":"team","Shape":"{shape}","Rank":"normal",
--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -9,9 +9,9 @@
     Commit, CommitResult, FleetAction, Ledger, Loaded, Moment, Setup, lease_over_ms,
 };
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
-use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker};
+use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker, flavors};
 use hookway_wire::{
-    Cause, CheckIn, CheckInAnswer, DirectOrders, Flavor, Guard, JobId, JobSpec, Transaction,
+    Cause, CheckIn, CheckInAnswer, DirectOrders, Guard, JobId, JobSpec, Transaction,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -80,21 +80,6 @@
     }
 }
 
-fn flavors() -> Vec<Flavor> {
-    vec![Flavor {
-        label: "small".into(),
-        vcpus: 4.0,
-        gpus: 0.0,
-        ram_gb: 16.0,
-        local_gb: 50.0,
-        fetch_gb_per_s: 0.5,
-        hourly: 1.0,
-        market_price: Some(0.3),
-        ready_s: 20.0,
-        yards: vec!["a".into(), "b".into()],
-    }]
-}
-
 fn machine(n: usize, now: u64) -> Machine {
     let name = format!("m-{n}");
     Machine {
--- a/crates/testkit/src/settings.rs
+++ b/crates/testkit/src/settings.rs
@@ -1,3 +1,5 @@
+use hookway_wire::Flavor;
+
 /// Settings of a small deployment as the platform hands them over, with a field that no version
 /// knows. Nothing listens at the addresses.
 pub const SETTINGS: &str = r#"
@@ -43,3 +45,19 @@
 rps = 4.0
 list_lag_s = 4.0
 "#;
+
+/// The machine types of that deployment: one, small.
+pub fn flavors() -> Vec<Flavor> {
+    vec![Flavor {
+        label: "small".into(),
+        vcpus: 4.0,
+        gpus: 0.0,
+        ram_gb: 16.0,
+        local_gb: 50.0,
+        fetch_gb_per_s: 0.5,
+        hourly: 1.0,
+        market_price: Some(0.3),
+        ready_s: 20.0,
+        yards: vec!["a".into(), "b".into()],
+    }]
+}
