--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -8,27 +8,11 @@
     CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal, lease_over_ms,
 };
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
-use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker};
+use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker, flavors};
 use hookway_wire::{
-    Cause, Change, Flavor, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order,
-    Transaction,
+    Cause, Change, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order, Transaction,
 };
 
-fn flavors() -> Vec<Flavor> {
-    vec![Flavor {
-        label: "small".into(),
-        vcpus: 4.0,
-        gpus: 0.0,
-        ram_gb: 16.0,
-        local_gb: 50.0,
-        fetch_gb_per_s: 0.5,
-        hourly: 1.0,
-        market_price: Some(0.3),
-        ready_s: 20.0,
-        yards: vec!["a".into(), "b".into()],
-    }]
-}
-
 fn job(id: &str, shape: &str, pieces: u32) -> JobSpec {
     let text = format!(
         r#"{{"NameId":"{id}","Lane":"train","Owner":"team","Shape":"{shape}","Rank":"normal",
@@ -70,6 +54,7 @@
             minimums: store.list("m/"),
             roster: store.list("r/"),
             images: store.list("i/"),
+            lanes: store.get("c/lanes"),
             marked: true,
         };
         let guard = Guard { key: LEAD_NOW.into(), stamp };
@@ -999,3 +984,53 @@
     }
     assert_eq!(asked.len(), 4, "each zone and kind had its turn: {asked:?}");
 }
+
+#[test]
+fn a_machine_that_stands_by_for_a_class_stays_through_a_change_of_leader() {
+    // The aims want this class started within less than a machine takes to boot.
+    let aim = "kind = \"wait\"\nclass = \"train\"\nwithin_s = 5.0\nshare = 0.8\n[[settings.objectives]]\n";
+    let settings = SETTINGS.replace("kind = \"finished\"", &format!("{aim}kind = \"finished\""));
+    let setup = Setup { params: Settings::parse(&settings).expect("sound").settings, ..setup() };
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "group", 1));
+    play.settle(&mut [&mut w]);
+    w.end("req-000001/0", Cause::Done);
+    play.settle(&mut [&mut w]);
+    assert!(play.store.list("j/").is_empty(), "no job of the class is left");
+    // The next leader never saw one.
+    let stamp = play.store.put(LEAD_NOW, serde_json::json!({ "term": 5_000 }));
+    let loaded = Loaded {
+        roster: play.store.list("r/"),
+        lanes: play.store.get("c/lanes"),
+        marked: true,
+        ..Loaded::default()
+    };
+    let guard = Guard { key: LEAD_NOW.into(), stamp };
+    let at = Moment { now: 20_000, wall: 1_020_000 };
+    let ledger = Ledger::new(setup, 5_000, guard, flavors(), loaded, at);
+    let mut next = Play { ledger, store: play.store.clone(), now: 20_000 };
+    for _ in 0..60 {
+        next.settle(&mut [&mut w]);
+        for action in next.ledger.fleet_round(next.now) {
+            assert!(!matches!(action, FleetAction::Delete(_)), "it was kept for the next gang");
+        }
+    }
+}
+
+#[test]
+fn a_refused_direct_start_holds_its_place_until_a_report_shows_that_no_copy_was_carried_out() {
+    let mut play = Play::start();
+    let (mut w, mut other) = (small("m-1", "a"), small("m-2", "a"));
+    let orders = with_a_direct_start(&mut play, &mut w);
+    // A copy of the command is carried out; then the worker takes an answer with a higher token, and
+    // the command itself is refused.
+    w.orders(&orders).expect("carried out");
+    w.baton += 1;
+    assert_eq!(w.orders(&orders), None);
+    play.ledger.delivered("m-1", orders.baton, Delivery::Refused, play.now);
+    play.settle(&mut [&mut other]);
+    assert_eq!(other.started, [], "it runs on m-1");
+    play.settle(&mut [&mut w, &mut other]);
+    assert_eq!((w.live().len(), other.started.len()), (1, 0));
+}
