Tidy: deafness is weighed only when an answer had no effect; one place for team limits and images

Read over: every report counted deaf machines over the whole cluster although the count matters only where an answer had no effect; whether a team is limited was written out twice, reading a record's images twice, and a client's failed exchange logged in two arms of the same shape. Behaviour is unchanged.

--- a/crates/clients/src/worker.rs
+++ b/crates/clients/src/worker.rs
@@ -49,13 +49,13 @@
                 tracing::debug!("worker at {address}: {status}");
                 Delivery::Unclear
             }
-            Err(HttpError::NotSent(e)) => {
-                tracing::debug!("worker at {address}: {e}");
-                Delivery::NotSent
-            }
             Err(e) => {
                 tracing::debug!("worker at {address}: {e}");
-                Delivery::Unclear
+                if matches!(e, HttpError::NotSent(_)) {
+                    Delivery::NotSent
+                } else {
+                    Delivery::Unclear
+                }
             }
         }
     }
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -51,6 +51,13 @@
     pub gpus_max: f64,
 }
 
+impl Team {
+    /// Whether what its tasks use is limited.
+    pub fn limited(&self) -> bool {
+        self.cpus_max > 0.0 || self.gpus_max > 0.0
+    }
+}
+
 /// An aim.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Objective {
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -124,34 +124,33 @@
     /// heard and never will be: it renewed no lease. A machine that hears nothing for several answers
     /// gets no new work and is given back; what is on it counts until its lease is surely over.
     fn judge_hearing(&mut self, name: &str, report: &CheckIn, now: u64) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let expected = std::mem::take(&mut host.expected);
+        let Some(taken) = expected.taken(report) else { return };
+        if taken {
+            host.deaf = 0;
+            if host.closing == Some(HEARS_NOTHING) {
+                tracing::info!("machine {name}: hears again");
+                host.closing = None;
+            }
+            return;
+        }
+        // All machines are looked at only when one was deaf to an answer. When many are, it is this
+        // node's answers that are late.
         let deaf_now = self.hosts.values().filter(|h| h.deaf >= constants::DEAF_ANSWERS).count();
-        // When many are, it is this node's answers that are late.
         let few = deaf_now * 4 <= self.hosts.len().max(4);
         let pause =
             (self.setup.params.workers.report_s * 1000.0 * constants::LONGEST_REPORT) as u64;
         let Some(host) = self.hosts.get_mut(name) else { return };
-        let expected = std::mem::take(&mut host.expected);
-        match expected.taken(report) {
-            None => {}
-            Some(true) => {
-                host.deaf = 0;
-                if host.closing == Some(HEARS_NOTHING) {
-                    tracing::info!("machine {name}: hears again");
-                    host.closing = None;
-                }
-            }
-            Some(false) => {
-                host.deaf += 1;
-                host.last_answer = expected.answered_before;
-                // One answer may get lost by itself.
-                if host.deaf > 1 {
-                    host.pause_until = host.pause_until.max(now + pause);
-                }
-                if host.deaf >= constants::DEAF_ANSWERS && host.closing.is_none() && few {
-                    tracing::info!("machine {name}: {HEARS_NOTHING}");
-                    host.closing = Some(HEARS_NOTHING);
-                }
-            }
+        host.deaf += 1;
+        host.last_answer = expected.answered_before;
+        // One answer may get lost by itself.
+        if host.deaf > 1 {
+            host.pause_until = host.pause_until.max(now + pause);
+        }
+        if host.deaf >= constants::DEAF_ANSWERS && host.closing.is_none() && few {
+            tracing::info!("machine {name}: {HEARS_NOTHING}");
+            host.closing = Some(HEARS_NOTHING);
         }
     }
 
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -323,8 +323,7 @@
                     continue;
                 }
             };
-            let images: Vec<(u32, f64)> =
-                record.images.iter().map(|(bundle, gb)| (self.image(bundle), *gb)).collect();
+            let images = self.images_of(&record.images);
             for (host, entry) in record.hosts {
                 let held = entry.images.iter().filter_map(|i| images.get(*i).copied()).collect();
                 self.inherit_host(&host, Some(entry.at_ms), held, at);
@@ -334,8 +333,7 @@
         for kv in loaded.images {
             let name = kv.key.strip_prefix(crate::records::IMAGES).unwrap_or_default();
             if let Ok(record) = serde_json::from_value::<ImagesRecord>(kv.v) {
-                let images: Vec<(u32, f64)> =
-                    record.images.iter().map(|(bundle, gb)| (self.image(bundle), *gb)).collect();
+                let images = self.images_of(&record.images);
                 if let Some(host) = self.hosts.get_mut(name) {
                     host.images = images;
                 }
@@ -459,6 +457,11 @@
             .filter_map(|o| o.within_s)
     }
 
+    /// Images of a record, by their numbers.
+    fn images_of(&mut self, named: &[(String, f64)]) -> Vec<(u32, f64)> {
+        named.iter().map(|(bundle, gb)| (self.image(bundle), *gb)).collect()
+    }
+
     fn image(&mut self, bundle: &str) -> u32 {
         let next = self.images.len() as u32;
         let found = *self.images.entry(bundle.to_owned()).or_insert(next);
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -1,4 +1,5 @@
 use super::{Held, Host, Job, Kill, Ledger, Phase, Slot};
+use crate::config::Team;
 use hookway_constants as constants;
 use hookway_policy::{HeldView, HostView, JobView, Room, TeamView, World, evict, minimum, place};
 use hookway_wire::PieceState;
@@ -98,7 +99,7 @@
     /// Tasks that may be started now.
     fn startable_now(&self, job: &Job, now: u64) -> u32 {
         let team = self.setup.params.teams.get(job.team);
-        let limited = team.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        let limited = team.is_some_and(Team::limited);
         // Until everything an earlier leader started is accounted for, a task of an older job may be
         // on a machine that has not reported; so may unknown parts of a team's limit.
         let unsettled = !self.settled(now);
@@ -270,7 +271,7 @@
                 let mut tasks = turn.tasks.min(view.startable).min(free.count(&view.need));
                 tasks = tasks.min(view.zone_cap.saturating_sub(here));
                 let limit = self.setup.params.teams.get(view.team);
-                if limit.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+                if limit.is_some_and(Team::limited)
                     && let Some(mut team) = self.teams().into_iter().nth(view.team)
                 {
                     for (_, room) in self.reserved.iter().filter(|(t, _)| *t == view.team) {
