--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -33,13 +33,18 @@
 impl HttpClient {
     /// A client for `address` (`host:port`).
     pub fn new(address: &str) -> Self {
+        Self::keeping(address, 8, Duration::from_millis(constants::CLIENT_IDLE_MS))
+    }
+
+    /// A client that keeps at most `most` idle connections to each address, for `idle`.
+    pub fn keeping(address: &str, most: usize, idle: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(constants::CONNECT_TIMEOUT_MS)));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(10))
-            .pool_max_idle_per_host(8)
+            .pool_idle_timeout(idle)
+            .pool_max_idle_per_host(most)
             .build(connector);
         Self { base: format!("http://{address}"), client }
     }
--- a/crates/clients/src/worker.rs
+++ b/crates/clients/src/worker.rs
@@ -27,7 +27,8 @@
 
 impl Default for WorkerClient {
     fn default() -> Self {
-        Self { http: HttpClient::new("0.0.0.0:0") }
+        let idle = Duration::from_millis(constants::WORKER_IDLE_MS);
+        Self { http: HttpClient::keeping("0.0.0.0:0", 1, idle) }
     }
 }
 
--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -77,6 +77,14 @@
 pub const REPORT_SOON_MS: u64 = 800;
 /// A machine that could not be reached takes nothing new for this long, ms.
 pub const UNREACHED_PAUSE_MS: u64 = 4_000;
+/// Commands to stop that are sent straight to workers at a time, in messages. Bounds sockets; what
+/// waits goes with the next report as well.
+pub const PUSHES_AT_MOST: usize = 32;
+/// How long a connection to a worker is kept after use, ms. Hundreds of machines are sent to within
+/// seconds, few of them twice.
+pub const WORKER_IDLE_MS: u64 = 1_000;
+/// How long a connection to the state service, the cloud or a controller is kept after use, ms.
+pub const CLIENT_IDLE_MS: u64 = 10_000;
 /// Time limit for commands sent straight to a worker, ms. What is lost goes with the next report.
 pub const WORKER_TIMEOUT_MS: u64 = 1_500;
 /// Pause between two readings of the machine list, ms.
@@ -221,6 +229,21 @@
 pub const PEER_IDLE: usize = 4;
 /// What `Retry-After` says, s.
 pub const RETRY_AFTER_S: u32 = 1;
+/// Share of the socket limit that connections from outside may hold. The rest stays for the state
+/// service, the cloud, the other controllers and workers that are sent to.
+pub const DOOR_SOCKET_SHARE: f64 = 0.85;
+/// A connection without traffic for this many report intervals is closed: its worker is gone, or cut
+/// off, and opens a new one when it is back.
+pub const DOOR_IDLE_REPORTS: f64 = 2.5;
+/// The least time for that, s. Users ask about every 5 s.
+pub const DOOR_IDLE_LEAST_S: f64 = 15.0;
+/// A connection with traffic in this time is not closed to make room for another, ms: its request may
+/// be in progress.
+pub const DOOR_BUSY_MS: u64 = 2_000;
+/// When the table is full, one connection in so many is closed at a time.
+pub const DOOR_CLOSE_PART: usize = 64;
+/// Pause before a full table is looked at again, ms.
+pub const DOOR_WAIT_MS: u64 = 20;
 /// Share of the socket limit that may be requests in progress.
 pub const IN_PROGRESS_SOCKET_SHARE: f64 = 0.25;
 /// Fewest requests in progress that the adaptive limit allows.
--- /dev/null
+++ b/crates/controller/src/door.rs
@@ -0,0 +1,186 @@
+//! The door: the connections that this node has accepted, as many as its sockets allow.
+//!
+//! Each machine keeps one connection to the leader, users keep theirs, and a cut leaves behind
+//! connections whose other side is gone. When the table is full, the connection that has been quiet
+//! longest is closed: a worker or user opens a new one when it needs one. What is left over of the
+//! sockets stays for the state service, the cloud, the other controllers and the workers that are
+//! sent to.
+
+use hookway_constants as constants;
+use salvo::async_trait;
+use salvo::conn::ConnCtrl;
+use salvo::fuse::{ArcConnObserver, ConnObserver, FuseAction, FuseConfig, FuseInfo, FusePolicy};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A connection that may be closed.
+struct Open {
+    last_ms: Arc<AtomicU64>,
+    ctrl: ConnCtrl,
+}
+
+struct Table {
+    start: Instant,
+    most: usize,
+    /// Connections that hold a socket, those included that are being closed.
+    held: AtomicUsize,
+    next: AtomicU64,
+    open: Mutex<HashMap<u64, Open>>,
+}
+
+impl Table {
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Closes those that have been quiet longest, a few at a time, so that looking at all of them pays.
+    fn close_quiet(&self, now_ms: u64) {
+        let Ok(mut open) = self.open.lock() else { return };
+        let mut quiet: Vec<(u64, u64)> = open
+            .iter()
+            .map(|(id, o)| (o.last_ms.load(Ordering::Relaxed), *id))
+            .filter(|(last, _)| last + constants::DOOR_BUSY_MS <= now_ms)
+            .collect();
+        quiet.sort_unstable();
+        for (_, id) in quiet.into_iter().take(self.most.div_ceil(constants::DOOR_CLOSE_PART)) {
+            if let Some(o) = open.remove(&id) {
+                o.ctrl.abort();
+            }
+        }
+    }
+}
+
+/// One connection's traffic; it leaves the table when the connection's stream is dropped.
+struct Traffic {
+    id: u64,
+    table: Arc<Table>,
+    last_ms: Arc<AtomicU64>,
+}
+
+impl ConnObserver for Traffic {
+    fn on_read(&self, _: usize) {
+        self.last_ms.store(self.table.now_ms(), Ordering::Relaxed);
+    }
+
+    fn on_write(&self, _: usize) {
+        self.last_ms.store(self.table.now_ms(), Ordering::Relaxed);
+    }
+}
+
+impl Drop for Traffic {
+    fn drop(&mut self) {
+        self.table.held.fetch_sub(1, Ordering::Relaxed);
+        if let Ok(mut open) = self.table.open.lock() {
+            open.remove(&self.id);
+        }
+    }
+}
+
+/// Lets connections in and closes quiet ones.
+#[derive(Clone)]
+pub struct Door {
+    table: Arc<Table>,
+    config: FuseConfig,
+}
+
+impl Door {
+    /// A door for `most` connections. One that is quiet for `idle` is closed in any case.
+    pub fn new(most: usize, idle: Duration) -> Self {
+        let table = Table {
+            start: Instant::now(),
+            most: most.max(1),
+            held: AtomicUsize::new(0),
+            next: AtomicU64::new(0),
+            open: Mutex::default(),
+        };
+        let config = FuseConfig::default()
+            .with_http1_header_timeout(idle)
+            .with_connection_idle_timeout(idle);
+        Self { table: Arc::new(table), config }
+    }
+
+    /// For a node with so many sockets, whose workers report every `report_s`: a part stays for what
+    /// the node opens itself, and no connection is closed that a worker still reports over.
+    pub fn for_machine(max_sockets: usize, report_s: f64) -> Self {
+        let most = (max_sockets as f64 * constants::DOOR_SOCKET_SHARE) as usize;
+        let idle = (report_s * constants::DOOR_IDLE_REPORTS).max(constants::DOOR_IDLE_LEAST_S);
+        Self::new(most, Duration::from_secs_f64(idle))
+    }
+
+    /// Connections that hold a socket.
+    pub fn held(&self) -> usize {
+        self.table.held.load(Ordering::Relaxed)
+    }
+}
+
+#[async_trait]
+impl FusePolicy for Door {
+    /// A full table delays a new connection and never refuses it.
+    async fn decide(&self, _: &FuseInfo) -> FuseAction {
+        while self.held() >= self.table.most {
+            self.table.close_quiet(self.table.now_ms());
+            tokio::time::sleep(Duration::from_millis(constants::DOOR_WAIT_MS)).await;
+        }
+        FuseAction::Accept(self.config)
+    }
+
+    fn observe(&self, _: &FuseInfo, ctrl: &ConnCtrl) -> Option<ArcConnObserver> {
+        let id = self.table.next.fetch_add(1, Ordering::Relaxed);
+        let last_ms = Arc::new(AtomicU64::new(self.table.now_ms()));
+        self.table.held.fetch_add(1, Ordering::Relaxed);
+        if let Ok(mut open) = self.table.open.lock() {
+            open.insert(id, Open { last_ms: last_ms.clone(), ctrl: ctrl.clone() });
+        }
+        Some(Arc::new(Traffic { id, table: self.table.clone(), last_ms }))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use salvo::fuse::TransProto;
+
+    fn info() -> FuseInfo {
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+        FuseInfo {
+            trans_proto: TransProto::Tcp,
+            remote_addr: address.into(),
+            local_addr: address.into(),
+        }
+    }
+
+    /// Guards against a full socket table that ends the process, or shuts users out while connections
+    /// whose other side a cut took away hold it.
+    #[tokio::test]
+    async fn a_full_door_closes_what_has_been_quiet_longest_and_only_that() {
+        let door = Door::new(4, Duration::from_secs(20));
+        let mut held = Vec::new();
+        for n in 0..4u64 {
+            let ctrl = ConnCtrl::new();
+            let observer = door.observe(&info(), &ctrl);
+            held.push((ctrl, observer));
+            // The first one has been quiet longest, the last one is busy.
+            let open = door.table.open.lock().unwrap();
+            open[&n].last_ms.store(n * 10_000, Ordering::Relaxed);
+        }
+        door.table.close_quiet(30_000 + constants::DOOR_BUSY_MS - 1);
+        let closed: Vec<bool> = held.iter().map(|(ctrl, _)| ctrl.is_aborted()).collect();
+        assert_eq!(closed, [true, false, false, false]);
+        assert_eq!(door.held(), 4, "its socket is held until its stream is dropped");
+        held.remove(0);
+        assert_eq!(door.held(), 3);
+        assert!(matches!(door.decide(&info()).await, FuseAction::Accept(_)));
+        door.table.close_quiet(10_000 + constants::DOOR_BUSY_MS - 1);
+        assert!(held.iter().all(|(ctrl, _)| !ctrl.is_aborted()), "busy ones stay");
+    }
+
+    #[test]
+    fn a_connection_that_a_worker_reports_over_is_not_idle() {
+        let door = Door::for_machine(1_000, 8.0);
+        let idle = door.config.connection_idle_timeout.unwrap();
+        assert!(idle.as_secs_f64() > 8.0 * constants::LONGEST_REPORT);
+        assert!(door.table.most < 1_000);
+    }
+}
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -412,12 +412,14 @@
         let key = self.next_job;
         let aims = self.aims_of(&record.spec);
         tracing::info!(
-            "job {id}: seen ({:?}, {} tasks, lane {}, {}, {} GB)",
+            "job {id}: seen ({:?}, {} tasks, lane {}, {}, {} GB, guess {:.0} s, due {:?})",
             record.spec.shape,
             record.spec.pieces,
             record.spec.lane,
             record.spec.bundle,
-            record.spec.image_gb
+            record.spec.image_gb,
+            record.spec.guess_s,
+            record.spec.due_s
         );
         let need = hookway_policy::Room::of_task(&record.spec);
         let fresh = LaneRecord { need, image_gb: 0.0, loaners: true, gangs: record.spec.is_gang() };
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 pub mod blocks;
 pub mod config;
+pub mod door;
 pub mod lead;
 pub mod ledger;
 pub mod limiter;
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{self, Desk};
 use crate::config::{OperatorSettings, Settings};
+use crate::door::Door;
 use crate::lead::{Clock, Leadership, Validity, View};
 use crate::ledger::Setup;
 use crate::node::Node;
@@ -27,6 +28,7 @@
 pub async fn run(settings: Settings, operator: OperatorSettings) -> Result<(), StartError> {
     let params = settings.settings.clone();
     let label = settings.label.clone();
+    let door = Door::for_machine(params.machine_limits.max_sockets, params.workers.report_s);
     let clock = Clock::default();
     let store =
         StoreClient::new(&settings.outside.state, params.state.rps * constants::NODE_REQUEST_SHARE);
@@ -82,8 +84,12 @@
     tokio::spawn(node.run());
     tokio::spawn(read_flavors(cloud, flavors_tx));
     tokio::spawn(peers::serve(peer_listener, desk.clone()));
+    for o in &settings.settings.objectives {
+        let class = o.class.as_deref().unwrap_or("-");
+        tracing::debug!("aim: {} of {class} within {:?} s", o.kind, o.within_s);
+    }
     tracing::info!("{label}: serving on {}", settings.api_addr);
-    Server::new(acceptor).serve(api::service(desk)).await;
+    Server::new(acceptor).fuse_policy(door).serve(api::service(desk)).await;
     Ok(())
 }
 
