Silent machines are deleted as proof, hopeless tasks leave noticed machines, sockets bounded

Ruled out: capacity (nothing waited for), order. A machine that misses its reports while its zone reports is deleted: the cloud's answer is proof.

--- a/crates/clients/src/worker.rs
+++ b/crates/clients/src/worker.rs
@@ -2,7 +2,9 @@
 use hookway_constants as constants;
 use hookway_wire::{CheckIn, DirectOrders};
 use hyper::{Method, StatusCode};
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 /// What became of commands that were sent straight to a worker.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,16 +25,27 @@
 #[derive(Debug, Clone)]
 pub struct WorkerClient {
     http: HttpClient,
+    stops: Arc<Semaphore>,
 }
 
 impl Default for WorkerClient {
     fn default() -> Self {
         let idle = Duration::from_millis(constants::WORKER_IDLE_MS);
-        Self { http: HttpClient::keeping("0.0.0.0:0", 1, idle) }
+        let stops = Arc::new(Semaphore::new(constants::PUSHES_AT_MOST));
+        Self { http: HttpClient::keeping("0.0.0.0:0", 1, idle), stops }
     }
 }
 
 impl WorkerClient {
+    /// Sends commands that only stop tasks, a bounded number at a time. What would wait for long is left
+    /// to the answer to the worker's next report, which says the same.
+    pub async fn stop(&self, address: &str, orders: &DirectOrders) {
+        let wait = Duration::from_millis(constants::PUSH_WAIT_MS);
+        if let Ok(Ok(_permit)) = tokio::time::timeout(wait, self.stops.acquire()).await {
+            self.send(address, orders).await;
+        }
+    }
+
     /// Sends commands to the worker at `address`.
     pub async fn send(&self, address: &str, orders: &DirectOrders) -> Delivery {
         let Ok(body) = serde_json::to_vec(orders) else { return Delivery::NotSent };
--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -80,6 +80,8 @@
 /// Commands to stop that are sent straight to workers at a time, in messages. Bounds sockets; what
 /// waits goes with the next report as well.
 pub const PUSHES_AT_MOST: usize = 32;
+/// How long such a command waits for its turn, ms; a gang's stops must all arrive within seconds.
+pub const PUSH_WAIT_MS: u64 = 2_000;
 /// How long a connection to a worker is kept after use, ms. Hundreds of machines are sent to within
 /// seconds, few of them twice.
 pub const WORKER_IDLE_MS: u64 = 1_000;
@@ -111,7 +113,7 @@
 pub const SPARE_WINDOW_MS: u64 = 120_000;
 /// A machine is returned once it has been idle for this many times what a new one takes to boot and
 /// to fetch an image. 1 is the break-even of the cost; above it, late work is spared.
-pub const IDLE_RETURN_FACTOR: f64 = 1.0;
+pub const IDLE_RETURN_FACTOR: f64 = 2.0;
 /// Longest time between two reports, in the workers' nominal ones (protocol: a quarter more).
 pub const LONGEST_REPORT: f64 = 1.25;
 /// How long beyond that a new leader waits for machines of the roster before it returns those that
@@ -130,6 +132,9 @@
 pub const ABSTAIN_MS: u64 = 2_500;
 /// Pause after a step-down for lack of reports before the node does that again, ms.
 pub const DESERTED_AGAIN_MS: u64 = 60_000;
+/// Machines with work that have missed their reports are given back before their leases are over if
+/// they are at most this share of their zone's. Above it a network is cut, most likely.
+pub const LOST_SHARE: f64 = 0.25;
 /// How long a machine may stay silent after its lease is surely over before it is returned, ms.
 pub const SILENT_RETURN_MS: u64 = 6_000;
 /// After this many list lags without an entry, a machine that had been listed is gone.
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -65,6 +65,9 @@
             );
         }
         host.heard = true;
+        if host.closing == Some(super::fleet::SILENT) && !self.deleting.contains(name) {
+            host.closing = None;
+        }
         if !overtaken {
             host.newest = stamp;
             host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
@@ -656,10 +659,14 @@
         if !std::mem::take(&mut self.stops_due) {
             return pushes;
         }
+        // A machine that has missed its report would only hold a socket until the time limit.
+        let report_ms = self.setup.params.workers.report_s * 1000.0;
+        let quiet = (report_ms * constants::LONGEST_REPORT) as u64 + constants::REPORT_SOON_MS;
         let names: Vec<String> = self.hosts.keys().cloned().collect();
         for name in names {
             let Some(host) = self.hosts.get(&name) else { continue };
-            if !host.heard || host.addr.is_empty() {
+            let silent = now >= host.last_answer.max(self.resumed_at) + quiet;
+            if !host.heard || host.addr.is_empty() || silent {
                 continue;
             }
             let stops: Vec<(usize, f64)> = host
@@ -753,6 +760,9 @@
     /// Time passes: what is on machines whose lease has surely run out is gone, and starts that
     /// wait for a silent machine are dropped.
     pub fn pass_time(&mut self, now: u64) {
+        if now >= self.unheard_until {
+            self.writer.roster.forget_unreadable();
+        }
         let quiet = (self.setup.params.workers.report_s * 2500.0) as u64;
         let names: Vec<String> = self.hosts.keys().cloned().collect();
         for name in names {
--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -13,6 +13,9 @@
 /// Bytes of values that one transaction may hold; the limit is 64 KiB in all.
 const TRANSACTION_BYTES: usize = 48 * 1024;
 
+/// What a guard or a change takes beside its key and value, bytes.
+const CHANGE_BYTES: usize = 32;
+
 /// Units that come back at a rate and may be saved up for a second.
 #[derive(Debug)]
 struct Bucket {
@@ -104,6 +107,8 @@
     /// The transaction.
     pub transaction: Transaction,
     items: Vec<Item>,
+    most: usize,
+    bytes: usize,
 }
 
 /// What became of it.
@@ -121,6 +126,27 @@
 pub type Learned = (String, Option<KeyValue>);
 
 impl Commit {
+    /// Whether `changes` more may be added. Sizes count, not numbers alone: however many changes the
+    /// store takes at a time, a transaction has a length that it may not exceed.
+    fn open(&self, changes: usize) -> bool {
+        self.transaction.apply.len() + changes <= self.most && self.bytes < TRANSACTION_BYTES
+    }
+
+    fn guard(&mut self, key: String, stamp: u64) {
+        self.bytes += key.len() + CHANGE_BYTES;
+        self.transaction.guards.push(Guard { key, stamp });
+    }
+
+    fn put(&mut self, key: String, value: serde_json::Value) {
+        self.bytes += key.len() + CHANGE_BYTES + value.to_string().len();
+        self.transaction.apply.push(Change::put(key, value));
+    }
+
+    fn delete(&mut self, key: String) {
+        self.bytes += key.len() + CHANGE_BYTES;
+        self.transaction.apply.push(Change::delete(key));
+    }
+
     /// The keys that must be read again when the outcome is not plain success.
     pub fn keys(&self) -> Vec<String> {
         self.transaction.guards.iter().map(|g| g.key.clone()).collect()
@@ -147,21 +173,22 @@
         let mut commit = Commit {
             transaction: Transaction { guards: vec![self.writer.lead.clone()], apply: vec![] },
             items: vec![],
+            most,
+            bytes: 0,
         };
-        self.add_finals(&mut commit, most);
-        let mut bytes = 0;
-        self.add_roster(&mut commit, most, &mut bytes);
-        self.add_opens(&mut commit, most);
-        self.add_chunks(&mut commit, most, &mut bytes);
-        while commit.transaction.apply.len() < most
+        self.add_finals(&mut commit);
+        self.add_roster(&mut commit);
+        self.add_opens(&mut commit);
+        self.add_chunks(&mut commit);
+        while commit.open(1)
             && let Some(key) = self.writer.trash.pop_front()
         {
-            commit.transaction.apply.push(Change::delete(key.clone()));
+            commit.delete(key.clone());
             commit.items.push(Item::Trash(key));
         }
-        self.add_minimums(&mut commit, most, now);
-        self.add_lanes(&mut commit, most, now);
-        self.add_hints(&mut commit, most, now, &mut bytes);
+        self.add_minimums(&mut commit, now);
+        self.add_lanes(&mut commit, now);
+        self.add_hints(&mut commit, now);
         if commit.transaction.apply.is_empty() {
             return None;
         }
@@ -170,8 +197,8 @@
         Some(commit)
     }
 
-    fn add_finals(&mut self, commit: &mut Commit, most: usize) {
-        while commit.transaction.apply.len() + 2 <= most
+    fn add_finals(&mut self, commit: &mut Commit) {
+        while commit.open(2)
             && let Some(key) = self.writer.finals.pop_front()
         {
             let Some(job) = self.jobs.get_mut(&key) else { continue };
@@ -184,36 +211,31 @@
                 notes: job.notes.iter().cloned().collect(),
             };
             let Ok(value) = serde_json::to_value(&record) else { continue };
-            let guard = Guard { key: final_key(&job.id), stamp: 0 };
-            commit.transaction.guards.push(guard);
-            commit.transaction.apply.push(Change::put(final_key(&job.id), value));
-            commit.transaction.apply.push(Change::delete(job_key(&job.id)));
+            commit.guard(final_key(&job.id), 0);
+            commit.put(final_key(&job.id), value);
+            commit.delete(job_key(&job.id));
             commit.items.push(Item::Final(key, record));
         }
     }
 
-    fn add_roster(&mut self, commit: &mut Commit, most: usize, bytes: &mut usize) {
-        while commit.transaction.apply.len() < most
-            && *bytes < TRANSACTION_BYTES
+    fn add_roster(&mut self, commit: &mut Commit) {
+        while commit.open(1)
             && let Some(number) = self.writer.roster.next_urgent()
         {
-            self.add_roster_record(commit, number, bytes);
+            self.add_roster_record(commit, number);
         }
     }
 
     /// Hints about machines, within the share of minimums, since nothing waits for them.
-    fn add_hints(&mut self, commit: &mut Commit, most: usize, now: u64, bytes: &mut usize) {
-        while commit.transaction.apply.len() < most
-            && *bytes < TRANSACTION_BYTES
-            && self.writer.minimum_bucket.fill(now) >= 1.0
-        {
+    fn add_hints(&mut self, commit: &mut Commit, now: u64) {
+        while commit.open(1) && self.writer.minimum_bucket.fill(now) >= 1.0 {
             let Some(number) = self.writer.roster.next_stale() else { break };
             self.writer.minimum_bucket.units -= 1.0;
-            self.add_roster_record(commit, number, bytes);
+            self.add_roster_record(commit, number);
         }
     }
 
-    fn add_roster_record(&mut self, commit: &mut Commit, number: u64, bytes: &mut usize) {
+    fn add_roster_record(&mut self, commit: &mut Commit, number: u64) {
         let names = &self.image_names;
         let images = |host: &str| -> Vec<(&str, f64)> {
             let held = self.hosts.get(host).map(|h| h.images.as_slice()).unwrap_or_default();
@@ -229,17 +251,15 @@
         let members: Vec<(String, Vec<u32>)> = members.collect();
         let key = Roster::key(number);
         if members.is_empty() {
-            commit.transaction.apply.push(Change::delete(key));
+            commit.delete(key);
         } else {
-            *bytes += value.to_string().len();
-            commit.transaction.apply.push(Change::put(key, value));
+            commit.put(key, value);
         }
         commit.items.push(Item::Roster(number, members));
     }
 
-    fn add_chunks(&mut self, commit: &mut Commit, most: usize, bytes: &mut usize) {
-        while commit.transaction.apply.len() < most
-            && *bytes < TRANSACTION_BYTES
+    fn add_chunks(&mut self, commit: &mut Commit) {
+        while commit.open(1)
             && let Some((key, chunk)) = self.writer.chunks.pop_front()
         {
             let Some(job) = self.jobs.get_mut(&key) else { continue };
@@ -250,26 +270,24 @@
             }
             let record = ProgressRecord::new(&job.bits(chunk));
             let Ok(value) = serde_json::to_value(&record) else { continue };
-            *bytes += record.bits.len();
             job.chunks[chunk].dirty = false;
             let name = progress_key(&job.id, chunk);
-            let guard = Guard { key: name.clone(), stamp: job.chunks[chunk].stamp };
-            commit.transaction.guards.push(guard);
-            commit.transaction.apply.push(Change::put(name, value));
+            commit.guard(name.clone(), job.chunks[chunk].stamp);
+            commit.put(name, value);
             commit.items.push(Item::Chunk(key, chunk, record));
         }
     }
 
-    fn add_opens(&mut self, commit: &mut Commit, most: usize) {
-        while commit.transaction.apply.len() < most
+    fn add_opens(&mut self, commit: &mut Commit) {
+        while commit.open(1)
             && let Some(key) = self.writer.opens.pop_first()
         {
             self.add_minimum(commit, key);
         }
     }
 
-    fn add_minimums(&mut self, commit: &mut Commit, most: usize, now: u64) {
-        while commit.transaction.apply.len() < most && self.writer.minimum_bucket.fill(now) >= 1.0 {
+    fn add_minimums(&mut self, commit: &mut Commit, now: u64) {
+        while commit.open(1) && self.writer.minimum_bucket.fill(now) >= 1.0 {
             let Some(key) = self.writer.minimums.pop_first() else { break };
             self.writer.minimum_bucket.units -= 1.0;
             self.add_minimum(commit, key);
@@ -277,11 +295,8 @@
     }
 
     /// What the next leader should know of the lanes; one record for all, written when one changes.
-    fn add_lanes(&mut self, commit: &mut Commit, most: usize, now: u64) {
-        if !self.writer.lanes
-            || commit.transaction.apply.len() >= most
-            || self.writer.minimum_bucket.fill(now) < 1.0
-        {
+    fn add_lanes(&mut self, commit: &mut Commit, now: u64) {
+        if !self.writer.lanes || !commit.open(1) || self.writer.minimum_bucket.fill(now) < 1.0 {
             return;
         }
         self.writer.lanes = false;
@@ -293,7 +308,7 @@
             return;
         }
         self.writer.minimum_bucket.units -= 1.0;
-        commit.transaction.apply.push(Change::put(LANES, value));
+        commit.put(LANES.to_owned(), value);
         commit.items.push(Item::Lanes);
     }
 
@@ -306,7 +321,7 @@
             opened: job.opened.max(job.opening),
         };
         let Ok(value) = serde_json::to_value(&record) else { return };
-        commit.transaction.apply.push(Change::put(minimum_key(&job.id), value));
+        commit.put(minimum_key(&job.id), value);
         commit.items.push(Item::Minimum(key, record));
         self.writer.minimums.remove(&key);
     }
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -5,6 +5,9 @@
 use hookway_wire::{Flavor, HostState, ListedHost, RentRequest};
 use std::collections::{HashMap, HashSet};
 
+/// Why a machine is given back that does not report any more.
+pub(super) const SILENT: &str = "silent";
+
 /// Something to ask of the cloud.
 #[derive(Debug, Clone, PartialEq)]
 pub enum FleetAction {
@@ -219,6 +222,27 @@
         spares
     }
 
+    /// Machines with work that have missed their reports while most others of their zone have not: gone,
+    /// most likely, or hanging. A deletion proves their tasks gone, which the list and their leases do
+    /// only much later. When many fall silent together a network is cut, and they may be back.
+    fn lost_hosts(&self, now: u64, patience: u64) -> HashSet<String> {
+        let live = |h: &&Host| h.heard && h.dead_tenure < h.newest.0;
+        let silent = |h: &Host| now >= h.last_answer.max(self.resumed_at) + patience;
+        let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
+        for host in self.hosts.values().filter(live) {
+            let (all, quiet) = zones.entry(&host.yard).or_default();
+            *all += 1;
+            *quiet += usize::from(silent(host));
+        }
+        let few = |yard: &str| {
+            let (all, quiet) = zones.get(yard).copied().unwrap_or_default();
+            quiet < all && (quiet == 1 || quiet as f64 <= all as f64 * constants::LOST_SHARE)
+        };
+        let lost =
+            |(_, h): &(&String, &Host)| live(&h) && silent(h) && !h.held.is_empty() && few(&h.yard);
+        self.hosts.iter().filter(lost).map(|(name, _)| name.clone()).collect()
+    }
+
     /// Machines to delete now.
     fn doomed(&mut self, now: u64, needed: &HashSet<&str>) -> Vec<String> {
         let lease = lease_over_ms(&self.setup.params);
@@ -240,6 +264,7 @@
             && now + constants::UNHEARD_WORTH_MS < self.unheard_until;
         self.note_needs(now);
         let spares = self.spares(now);
+        let lost = self.lost_hosts(now, unheard_patience);
         for (name, host) in &mut self.hosts {
             let needed = needed.contains(name.as_str());
             if !host.held.is_empty() || !host.ended.is_empty() {
@@ -264,7 +289,7 @@
             // Silence while this node could not answer is not the machine's.
             let quiet_since = host.last_answer.max(self.resumed_at);
             if host.heard && now >= quiet_since + lease + constants::SILENT_RETURN_MS {
-                host.closing = Some("silent");
+                host.closing = Some(SILENT);
             }
             let ready_ms = self
                 .flavors
@@ -283,7 +308,12 @@
             if unheard_go && self.unheard.contains(name) {
                 host.closing = Some("not heard since the takeover");
             }
-            let empty = host.held.is_empty() && host.ended.is_empty();
+            // The same for what is on a machine that has fallen silent by itself.
+            let lost = lost.contains(name);
+            if lost {
+                host.closing = Some(SILENT);
+            }
+            let empty = lost || host.held.is_empty() && host.ended.is_empty();
             let taken = host.notice.is_some() && host.heard;
             if taken && empty && host.closing.is_none() {
                 host.closing = Some("the cloud wants it back");
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -320,6 +320,7 @@
                     // until their leases are over nothing older is started.
                     tracing::error!("{}: the roster record can't be read: {e}", kv.key);
                     self.unheard.insert(kv.key);
+                    self.writer.roster.unreadable(number);
                     continue;
                 }
             };
--- a/crates/controller/src/ledger/roster.rs
+++ b/crates/controller/src/ledger/roster.rs
@@ -13,6 +13,9 @@
     urgent: BTreeSet<u64>,
     /// Records whose hints, or machines that are gone, are out of date.
     stale: BTreeSet<u64>,
+    /// Records that can't be read. They stay as they are until the leases of their machines are surely
+    /// over: the next leader must know that it does not know all machines.
+    unreadable: BTreeSet<u64>,
 }
 
 impl Roster {
@@ -25,6 +28,20 @@
             of: HashMap::new(),
             urgent: BTreeSet::new(),
             stale: BTreeSet::new(),
+            unreadable: BTreeSet::new(),
+        }
+    }
+
+    /// A record that can't be read.
+    pub fn unreadable(&mut self, number: u64) {
+        self.unreadable.insert(number);
+    }
+
+    /// The leases of the machines in unreadable records are over: the records are as good as empty.
+    pub fn forget_unreadable(&mut self) {
+        for number in std::mem::take(&mut self.unreadable) {
+            self.records.entry(number).or_default();
+            self.stale.insert(number);
         }
     }
 
@@ -41,7 +58,10 @@
         }
         let open = self.records.iter().find(|(_, members)| members.len() < self.most);
         let number = open.map_or_else(
-            || self.records.last_key_value().map_or(0, |(last, _)| last + 1),
+            || {
+                let last = self.records.last_key_value().map(|(last, _)| *last);
+                last.max(self.unreadable.last().copied()).map_or(0, |last| last + 1)
+            },
             |(number, _)| *number,
         );
         self.records.entry(number).or_default().insert(host.to_owned(), at_ms);
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -392,7 +392,12 @@
                     held.phase,
                     Phase::Planned | Phase::On(PieceState::Pulling | PieceState::Waiting)
                 );
-                if held.kill.is_none() && (idle || job.spec.saves()) {
+                // What can't be done before the machine goes starts anew elsewhere the sooner.
+                let ran = held.running_since.map_or(0, |s| now.saturating_sub(s)) as f64;
+                let goes = host.notice.map(|at| at.saturating_sub(now) as f64);
+                let hopeless = !job.spec.is_gang()
+                    && job.solid_mean().zip(goes).is_some_and(|(mean, goes)| mean - ran > goes);
+                if held.kill.is_none() && (idle || job.spec.saves() || hopeless) {
                     stops.push(i);
                 }
             }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -339,7 +339,7 @@
         let Some(ledger) = term.ledger.as_mut() else { return };
         for (address, orders) in ledger.take_pushes(now) {
             let workers = self.workers.clone();
-            term.helpers.spawn(async move { drop(workers.send(&address, &orders).await) });
+            term.helpers.spawn(async move { workers.stop(&address, &orders).await });
         }
         for (host, address, orders) in ledger.take_direct(now) {
             let (workers, notes) = (self.workers.clone(), term.notes.clone());
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1034,3 +1034,155 @@
     play.settle(&mut [&mut w, &mut other]);
     assert_eq!((w.live().len(), other.started.len()), (1, 0));
 }
+
+/// A play with a task on each of these machines, all in one zone, and the machines.
+fn busy_zone(count: usize) -> (Play, Vec<ScriptedWorker>) {
+    let mut play = Play::start();
+    let names: Vec<String> = (1..=count).map(|n| format!("m-{n}")).collect();
+    let mut workers: Vec<ScriptedWorker> = names.iter().map(|n| small(n, "a")).collect();
+    play.submit(job("req-000001", "array", count as u32));
+    play.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    assert!(workers.iter().all(|w| w.live().len() == 1));
+    (play, workers)
+}
+
+/// Machines that the ledger gives back while only these workers report, within `ms`.
+fn given_back(play: &mut Play, reporting: &mut [ScriptedWorker], ms: u64) -> Vec<String> {
+    let until = play.now + ms;
+    let mut names = Vec::new();
+    while play.now < until {
+        for worker in reporting.iter_mut() {
+            play.beat(worker);
+        }
+        play.wait(1_000);
+        for action in play.ledger.fleet_round(play.now) {
+            if let FleetAction::Delete(gone) = action {
+                names.extend(gone);
+            }
+        }
+    }
+    names
+}
+
+#[test]
+fn a_machine_that_falls_silent_alone_is_given_back_and_its_task_runs_elsewhere_before_its_lease_ends()
+ {
+    let (mut play, mut workers) = busy_zone(5);
+    let silent = workers.remove(0);
+    let lost = silent.live()[0].clone();
+    let names = given_back(&mut play, &mut workers, 12_000);
+    assert_eq!(names, ["m-1"], "its lease of 14 s still runs");
+    let mut spare = small("m-9", "a");
+    play.settle(&mut [&mut spare]);
+    assert_eq!(spare.live(), [] as [&str; 0], "not before the cloud has confirmed the deletion");
+    play.ledger.deleted(&names, play.now);
+    play.settle(&mut [&mut spare]);
+    assert_eq!(spare.live(), [lost]);
+}
+
+#[test]
+fn machines_that_fall_silent_together_are_waited_for() {
+    let (mut play, mut workers) = busy_zone(5);
+    workers.drain(..2);
+    assert_eq!(given_back(&mut play, &mut workers, 12_000), [] as [&str; 0]);
+}
+
+#[test]
+fn a_silent_machine_that_reports_again_before_it_was_deleted_is_kept() {
+    let (mut play, mut workers) = busy_zone(5);
+    let mut silent = workers.remove(0);
+    let names = given_back(&mut play, &mut workers, 12_000);
+    play.ledger.delete_failed(&names);
+    play.beat(&mut silent);
+    workers.push(silent);
+    assert_eq!(given_back(&mut play, &mut workers, 4_000), [] as [&str; 0]);
+}
+
+#[test]
+fn a_task_that_can_not_end_before_its_machine_is_taken_starts_elsewhere_at_once() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "array", 8));
+    // Four tasks of 20 s tell how long one takes.
+    for n in 0..4 {
+        for _ in 0..10 {
+            play.settle(&mut [&mut w]);
+        }
+        assert!(w.end(&format!("req-000001/{n}"), Cause::Done));
+        play.beat(&mut w);
+    }
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live(), ["req-000001/4"]);
+    w.notice(30.0);
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live(), ["req-000001/4"], "it can end in time");
+    w.notice(8.0);
+    play.settle(&mut [&mut w]);
+    assert_eq!(w.live(), [] as [&str; 0]);
+    let mut other = small("m-2", "a");
+    play.settle(&mut [&mut other]);
+    assert_eq!(other.live(), ["req-000001/4"]);
+}
+
+#[test]
+fn the_number_of_an_unreadable_roster_record_is_not_used_again_within_a_lease() {
+    let mut store = MemoryStore::default();
+    store.put("r/record-0", serde_json::json!({ "hosts": "from a later version" }));
+    let mut play = Play::lead(store, 1, 0);
+    let mut w = small("m-1", "a");
+    play.beat(&mut w);
+    play.beat(&mut w);
+    assert!(play.rostered("m-1"));
+    assert!(
+        play.store.get("r/record-0").is_some_and(|kv| kv.v["hosts"].is_string()),
+        "a second leader within the lease must know that it does not know all machines"
+    );
+    // When the leases of its machines are surely over it goes.
+    play.now = lease_over_ms(&setup().params) + 1;
+    play.beat(&mut w);
+    play.wait(1_000);
+    play.wait(1_000);
+    assert!(play.store.get("r/record-0").is_none_or(|kv| kv.v["hosts"].is_object()));
+    assert!(play.rostered("m-1"));
+}
+
+#[test]
+fn transactions_are_split_by_bytes_however_many_changes_the_store_takes() {
+    let mut play = Play::start();
+    let mut big = setup();
+    big.params.state.txn_ops = 10_000;
+    big.params.state.write_rps = 100_000.0;
+    let guard = Guard { key: LEAD_NOW.into(), stamp: play.store.put(LEAD_NOW, 1.into()) };
+    let at = Moment { now: 0, wall: 1_000_000 };
+    play.ledger = Ledger::new(big, 1, guard, flavors(), Loaded::default(), at);
+    // Several times what a wave brings: thousands of machines, jobs of which all end at once.
+    for n in 0..6_000 {
+        let name = format!("m-{n:06}");
+        play.ledger.check_in(&small(&name, "a").report(), 0);
+    }
+    for n in 0..3_000 {
+        let id = play.submit(job(&format!("req-{n:06}"), "array", 1));
+        assert_eq!(play.ledger.withdraw(&id), Withdrawal::Pending);
+    }
+    let mut commits = 0;
+    while let Some(commit) = play.ledger.next_commit(play.now) {
+        let value_most = 8 * 1024;
+        let body = serde_json::to_vec(&commit.transaction).expect("a transaction");
+        assert!(body.len() <= 64 * 1024, "{} bytes", body.len());
+        for change in &commit.transaction.apply {
+            if let Change::Put { v, .. } = change {
+                assert!(v.to_string().len() <= value_most);
+            }
+        }
+        let epoch = play.store.commit(&commit.transaction).expect("applied");
+        play.ledger.committed(commit, CommitResult::Applied(epoch), play.now);
+        play.now += 1_000;
+        commits += 1;
+    }
+    assert!(commits > 10);
+    assert!(play.rostered("m-005999"));
+    assert_eq!(
+        play.stored_final(&JobId::parse("req-002999").expect("an id")).as_deref(),
+        Some("withdrawn")
+    );
+}
