--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -239,7 +239,7 @@
             quiet < all && (quiet == 1 || quiet as f64 <= all as f64 * constants::LOST_SHARE)
         };
         let lost =
-            |(_, h): &(&String, &Host)| live(&h) && silent(h) && !h.held.is_empty() && few(&h.yard);
+            |(_, h): &(&String, &Host)| live(h) && silent(h) && !h.held.is_empty() && few(&h.yard);
         self.hosts.iter().filter(lost).map(|(name, _)| name.clone()).collect()
     }
 
