A zone that is cut off is not given back, after a takeover or machine by machine

And in a cut each machine falls silent when its next report is due, so the first quarter of them counted as few. Ruled out: leases that run out, gangs that wait for room. Machines that are missing are counted by zone, from when their reports were due.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -132,8 +132,9 @@
 pub const ABSTAIN_MS: u64 = 2_500;
 /// Pause after a step-down for lack of reports before the node does that again, ms.
 pub const DESERTED_AGAIN_MS: u64 = 60_000;
-/// Machines with work that have missed their reports are given back before their leases are over if
-/// they are at most this share of their zone's. Above it a network is cut, most likely.
+/// Machines that have missed their reports, or have not reported since a takeover, are given back before
+/// their leases are over if they are at most this share of their zone's. Above it a network is cut,
+/// most likely.
 pub const LOST_SHARE: f64 = 0.25;
 /// How long a machine may stay silent after its lease is surely over before it is returned, ms.
 pub const SILENT_RETURN_MS: u64 = 6_000;
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -660,8 +660,7 @@
             return pushes;
         }
         // A machine that has missed its report would only hold a socket until the time limit.
-        let report_ms = self.setup.params.workers.report_s * 1000.0;
-        let quiet = (report_ms * constants::LONGEST_REPORT) as u64 + constants::REPORT_SOON_MS;
+        let quiet = self.report_due_ms();
         let names: Vec<String> = self.hosts.keys().cloned().collect();
         for name in names {
             let Some(host) = self.hosts.get(&name) else { continue };
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -222,24 +222,46 @@
         spares
     }
 
-    /// Machines with work that have missed their reports while most others of their zone have not: gone,
-    /// most likely, or hanging. A deletion proves their tasks gone, which the list and their leases do
-    /// only much later. When many fall silent together a network is cut, and they may be back.
-    fn lost_hosts(&self, now: u64, patience: u64) -> HashSet<String> {
-        let live = |h: &&Host| h.heard && h.dead_tenure < h.newest.0;
-        let silent = |h: &Host| now >= h.last_answer.max(self.resumed_at) + patience;
+    /// Zones of which only a few machines are `missing`: gone, most likely. When many of a zone are missing
+    /// together a network is cut, and they may be back.
+    fn few_missing<'a>(
+        &'a self,
+        counts: impl Fn(&Host) -> bool,
+        missing: impl Fn(&str, &Host) -> bool,
+    ) -> HashSet<&'a str> {
         let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
-        for host in self.hosts.values().filter(live) {
-            let (all, quiet) = zones.entry(&host.yard).or_default();
+        for (name, host) in self.hosts.iter().filter(|(_, h)| counts(h)) {
+            let (all, gone) = zones.entry(&host.yard).or_default();
             *all += 1;
-            *quiet += usize::from(silent(host));
+            *gone += usize::from(missing(name, host));
         }
-        let few = |yard: &str| {
-            let (all, quiet) = zones.get(yard).copied().unwrap_or_default();
-            quiet < all && (quiet == 1 || quiet as f64 <= all as f64 * constants::LOST_SHARE)
+        let few = |(all, gone): &(usize, usize)| {
+            gone < all && (*gone == 1 || *gone as f64 <= *all as f64 * constants::LOST_SHARE)
+        };
+        zones.iter().filter(|(_, z)| few(z)).map(|(zone, _)| *zone).collect()
+    }
+
+    /// Machines with work that have missed their reports while most others of their zone have not. A
+    /// deletion proves their tasks gone, which the list and their leases do only much later.
+    fn lost_hosts(&self, now: u64, patience: u64) -> HashSet<String> {
+        let live = |h: &Host| h.heard && h.dead_tenure < h.newest.0;
+        let quiet = |h: &Host| now.saturating_sub(h.last_answer.max(self.resumed_at));
+        let silent = |h: &Host| quiet(h) >= patience;
+        // In a cut machines fall silent one by one, each when its next report is due.
+        let late = self.report_due_ms();
+        let few = self.few_missing(live, |_, h| quiet(h) >= late);
+        let lost = |(_, h): &(&String, &Host)| {
+            live(h) && silent(h) && !h.held.is_empty() && few.contains(h.yard.as_str())
         };
-        let lost =
-            |(_, h): &(&String, &Host)| live(h) && silent(h) && !h.held.is_empty() && few(&h.yard);
+        self.hosts.iter().filter(lost).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Machines of the roster that have not reported since the takeover while most others of their zone
+    /// have.
+    fn unheard_lost(&self) -> HashSet<String> {
+        let unheard = |name: &str| self.unheard.contains(name);
+        let few = self.few_missing(|h| h.heard || !h.yard.is_empty(), |name, _| unheard(name));
+        let lost = |(name, h): &(&String, &Host)| unheard(name) && few.contains(h.yard.as_str());
         self.hosts.iter().filter(lost).map(|(name, _)| name.clone()).collect()
     }
 
@@ -251,7 +273,6 @@
             self.flavors.iter().map(|f| (f.label.clone(), self.idle_return(f))).collect();
         let mut doomed = Vec::new();
         let waiting = self.jobs.values().any(|j| j.inherited && j.live() && !j.free.is_empty());
-        // Not when most are silent: then it is this node that can't be reached.
         // Time for a worker to report once, to try each node with one that hangs among them, and to
         // report again with the new token.
         let report_ms = self.setup.params.workers.report_s * 1000.0;
@@ -259,12 +280,12 @@
             (report_ms * constants::LONGEST_REPORT) as u64 + constants::UNHEARD_RETURN_MS;
         let unheard_go = !settled
             && waiting
-            && self.unheard.len() * 2 < self.hosts.len()
             && now >= self.won_at.max(self.resumed_at) + unheard_patience
             && now + constants::UNHEARD_WORTH_MS < self.unheard_until;
         self.note_needs(now);
         let spares = self.spares(now);
         let lost = self.lost_hosts(now, unheard_patience);
+        let unheard_lost = if unheard_go { self.unheard_lost() } else { HashSet::new() };
         for (name, host) in &mut self.hosts {
             let needed = needed.contains(name.as_str());
             if !host.held.is_empty() || !host.ended.is_empty() {
@@ -305,7 +326,7 @@
             }
             // Work of earlier terms waits for machines that have not reported. A deletion proves
             // what is on them gone, sooner than their lease would.
-            if unheard_go && self.unheard.contains(name) {
+            if unheard_lost.contains(name) {
                 host.closing = Some("not heard since the takeover");
             }
             // The same for what is on a machine that has fallen silent by itself.
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -587,10 +587,15 @@
         expected >= 2 && now >= latest + limit
     }
 
+    /// Time after an answer by which a worker surely reports again, ms.
+    fn report_due_ms(&self) -> u64 {
+        let report_ms = self.setup.params.workers.report_s * 1000.0;
+        (report_ms * constants::LONGEST_REPORT) as u64 + constants::REPORT_SOON_MS
+    }
+
     /// Whether some worker has missed its report.
     pub fn some_silent(&self, now: u64) -> bool {
-        let report_ms = self.setup.params.workers.report_s * 1000.0;
-        let late = (report_ms * constants::LONGEST_REPORT) as u64 + constants::REPORT_SOON_MS;
+        let late = self.report_due_ms();
         let lease = lease_over_ms(&self.setup.params);
         let silent = |h: &Host| {
             h.heard && !h.held.is_empty() && (late..lease).contains(&(now - h.last_answer.min(now)))
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1087,6 +1087,19 @@
     assert_eq!(given_back(&mut play, &mut workers, 12_000), [] as [&str; 0]);
 }
 
+#[test]
+fn a_cut_in_which_machines_fall_silent_one_by_one_costs_none() {
+    let (mut play, mut workers) = busy_zone(12);
+    // They report in turn, one each 200 ms, until the leader hears none of them any more.
+    for _ in 0..3 {
+        for worker in &mut workers {
+            play.beat(worker);
+            play.wait(200);
+        }
+    }
+    assert_eq!(given_back(&mut play, &mut [], 12_000), [] as [&str; 0]);
+}
+
 #[test]
 fn a_silent_machine_that_reports_again_before_it_was_deleted_is_kept() {
     let (mut play, mut workers) = busy_zone(5);
@@ -1186,3 +1199,34 @@
         Some("withdrawn")
     );
 }
+
+/// A takeover during which only the workers of zone a report; the machines that the new leader gives
+/// back within 12 s.
+fn given_back_after_a_takeover(near: usize, cut: usize) -> Vec<String> {
+    let mut play = Play::start();
+    let zone = |count: usize, from: usize, yard: &str| -> Vec<ScriptedWorker> {
+        (from..from + count).map(|n| small(&format!("m-{n}"), yard)).collect()
+    };
+    let (mut a, mut b) = (zone(near, 1, "a"), zone(cut, 50, "b"));
+    play.submit(job("req-000001", "array", (near + cut + 1) as u32));
+    play.settle(&mut a.iter_mut().chain(b.iter_mut()).collect::<Vec<_>>());
+    let mut next = Play::lead(play.store.clone(), 2, 30_000);
+    let entries: Vec<ListedHost> = a
+        .iter_mut()
+        .chain(b.iter_mut())
+        .map(|w| w.report())
+        .map(|r| ListedHost { yard: r.yard, ..listed(&r.host, HostState::Running, 60.0) })
+        .collect();
+    next.ledger.listed(&entries, next.now, next.now);
+    // One machine of the zone that is cut off reports, as some do from before a cut.
+    if cut > 4 {
+        next.beat(&mut b[0]);
+    }
+    given_back(&mut next, &mut a, 12_000)
+}
+
+#[test]
+fn a_zone_that_is_cut_off_is_not_given_back_after_a_takeover() {
+    assert_eq!(given_back_after_a_takeover(12, 6), [] as [&str; 0]);
+    assert_eq!(given_back_after_a_takeover(12, 1), [] as [&str; 0], "all of a zone, however small");
+}
