--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -136,6 +136,12 @@
 /// their leases are over if they are at most this share of their zone's. Above it a network is cut,
 /// most likely.
 pub const LOST_SHARE: f64 = 0.25;
+/// A zone of which more than this share is missing counts as cut off.
+pub const CUT_SHARE: f64 = 0.5;
+/// How long machines of a zone that is cut off are kept after their leases are over, ms. Machines that
+/// died leave the list within a minute; one that is listed comes back, most likely, and another would
+/// have to boot and fetch.
+pub const CUT_PATIENCE_MS: u64 = 180_000;
 /// How long a machine may stay silent after its lease is surely over before it is returned, ms.
 pub const SILENT_RETURN_MS: u64 = 6_000;
 /// After this many list lags without an entry, a machine that had been listed is gone.
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -81,7 +81,9 @@
                 });
             }
         }
-        let offers = self.offers(now);
+        let cut = self.cut_zones(now);
+        let mut offers = self.offers(now);
+        offers.retain(|o| !cut.contains(&self.setup.params.zones[o.yard]));
         let plan = plan_fleet(&scene.world, &offers);
         let room = self
             .setup
@@ -130,7 +132,7 @@
             .filter(|(_, needed)| **needed)
             .map(|(name, _)| name.as_str())
             .collect();
-        let mut doomed = self.doomed(now, &needed);
+        let mut doomed = self.doomed(now, &needed, &cut);
         doomed.truncate(constants::DELETE_AT_MOST);
         if !doomed.is_empty() {
             for name in &doomed {
@@ -241,6 +243,24 @@
         zones.iter().filter(|(_, z)| few(z)).map(|(zone, _)| *zone).collect()
     }
 
+    /// Zones that can't be reached at this moment, by the share of their machines that is missing. Nothing
+    /// is rented there, and their machines are kept for a while: those that died the list tells.
+    fn cut_zones(&self, now: u64) -> HashSet<String> {
+        let late = self.report_due_ms();
+        let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
+        for host in self.hosts.values().filter(|h| h.rostered && !h.yard.is_empty()) {
+            let since = if host.heard { host.last_answer } else { self.won_at };
+            let quiet = now >= since.max(self.resumed_at) + late;
+            let (all, gone) = zones.entry(&host.yard).or_default();
+            *all += 1;
+            *gone += usize::from(quiet);
+        }
+        let cut = |(all, gone): &(usize, usize)| {
+            *gone > 1 && *gone as f64 > *all as f64 * constants::CUT_SHARE
+        };
+        zones.iter().filter(|(_, z)| cut(z)).map(|(zone, _)| (*zone).to_owned()).collect()
+    }
+
     /// Machines with work that have missed their reports while most others of their zone have not. A
     /// deletion proves their tasks gone, which the list and their leases do only much later.
     fn lost_hosts(&self, now: u64, patience: u64) -> HashSet<String> {
@@ -266,7 +286,7 @@
     }
 
     /// Machines to delete now.
-    fn doomed(&mut self, now: u64, needed: &HashSet<&str>) -> Vec<String> {
+    fn doomed(&mut self, now: u64, needed: &HashSet<&str>, cut: &HashSet<String>) -> Vec<String> {
         let lease = lease_over_ms(&self.setup.params);
         let settled = self.settled(now);
         let idle_return: HashMap<String, u64> =
@@ -287,7 +307,8 @@
         let lost = self.lost_hosts(now, unheard_patience);
         let unheard_lost = if unheard_go { self.unheard_lost() } else { HashSet::new() };
         for (name, host) in &mut self.hosts {
-            let needed = needed.contains(name.as_str());
+            let cut = cut.contains(&host.yard);
+            let needed = cut || needed.contains(name.as_str());
             if !host.held.is_empty() || !host.ended.is_empty() {
                 host.idle_since = None;
             } else if host.heard && host.idle_since.is_none() {
@@ -309,7 +330,8 @@
             }
             // Silence while this node could not answer is not the machine's.
             let quiet_since = host.last_answer.max(self.resumed_at);
-            if host.heard && now >= quiet_since + lease + constants::SILENT_RETURN_MS {
+            let wait = if cut { constants::CUT_PATIENCE_MS } else { constants::SILENT_RETURN_MS };
+            if (host.heard || host.rostered) && now >= quiet_since + lease + wait {
                 host.closing = Some(SILENT);
             }
             let ready_ms = self
@@ -319,8 +341,11 @@
                 .map_or(60_000.0, |f| f.ready_s * 1000.0);
             let patience =
                 (ready_ms * constants::BOOT_GIVE_UP_FACTOR) as u64 + constants::BOOT_GIVE_UP_MS;
-            let never_up =
-                !host.heard && now >= host.born + patience && now >= self.resumed_at + lease;
+            // One of the roster has been up.
+            let never_up = !host.heard
+                && !host.rostered
+                && now >= host.born + patience
+                && now >= self.resumed_at + lease;
             if never_up {
                 host.closing = Some("never came up");
             }
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1201,8 +1201,8 @@
 }
 
 /// A takeover during which only the workers of zone a report; the machines that the new leader gives
-/// back within 12 s.
-fn given_back_after_a_takeover(near: usize, cut: usize) -> Vec<String> {
+/// back within `ms`.
+fn given_back_after_a_takeover(near: usize, cut: usize, ms: u64) -> Vec<String> {
     let mut play = Play::start();
     let zone = |count: usize, from: usize, yard: &str| -> Vec<ScriptedWorker> {
         (from..from + count).map(|n| small(&format!("m-{n}"), yard)).collect()
@@ -1222,11 +1222,49 @@
     if cut > 4 {
         next.beat(&mut b[0]);
     }
-    given_back(&mut next, &mut a, 12_000)
+    given_back(&mut next, &mut a, ms)
 }
 
 #[test]
 fn a_zone_that_is_cut_off_is_not_given_back_after_a_takeover() {
-    assert_eq!(given_back_after_a_takeover(12, 6), [] as [&str; 0]);
-    assert_eq!(given_back_after_a_takeover(12, 1), [] as [&str; 0], "all of a zone, however small");
+    let none = [] as [&str; 0];
+    assert_eq!(
+        given_back_after_a_takeover(12, 6, 60_000),
+        none,
+        "they come back, or the list tells"
+    );
+    assert_eq!(given_back_after_a_takeover(12, 1, 12_000), none, "all of a zone, however small");
+}
+
+#[test]
+fn a_zone_that_is_cut_off_keeps_its_machines_and_gets_no_new_ones() {
+    let mut play = Play::start();
+    let mut a: Vec<ScriptedWorker> = (1..7).map(|n| small(&format!("m-{n}"), "a")).collect();
+    let mut b: Vec<ScriptedWorker> = (7..10).map(|n| small(&format!("m-{n}"), "b")).collect();
+    play.settle(&mut a.iter_mut().chain(b.iter_mut()).collect::<Vec<_>>());
+    play.submit(job("req-000001", "array", 40));
+    // Work for many more machines comes in while zone b is silent, for longer than its leases.
+    let mut rented = Vec::new();
+    for second in 0..60 {
+        for worker in &mut a {
+            play.beat(worker);
+        }
+        play.wait(1_000);
+        for action in play.ledger.fleet_round(play.now) {
+            match action {
+                FleetAction::Rent(request) => {
+                    play.ledger.rented(&request, None, play.now);
+                    if second > 4 {
+                        rented.push(request.yard.clone());
+                    }
+                }
+                FleetAction::Delete(names) => panic!("{names:?} given back"),
+            }
+        }
+    }
+    assert!(!rented.is_empty());
+    assert!(rented.iter().all(|yard| yard == "a"), "{rented:?}");
+    b.iter_mut().for_each(ScriptedWorker::expire);
+    play.settle(&mut b.iter_mut().collect::<Vec<_>>());
+    assert!(b.iter().all(|w| w.live().len() == 1), "back, they get work at once");
 }
