--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -166,8 +166,11 @@
 pub const TICK_MS: u64 = 100;
 /// Pause between two fleet rounds, ms.
 pub const FLEET_EVERY_MS: u64 = 1_000;
-/// Length of a block lease from the leader to a controller, ms (the design's 15 s).
-pub const BLOCK_LEASE_MS: u64 = 15_000;
+/// Length of a block lease from the leader to a controller, ms. The design begins with 15 s; a worker in a
+/// zone that is cut off lives for this long and its own lease, and zones are cut for a minute.
+pub const BLOCK_LEASE_MS: u64 = 30_000;
+/// Pause between two renewals of a block, ms. So much later than without a holder a lease counts as over.
+pub const RENEW_EVERY_MS: u64 = 1_000;
 /// Answers in a row without effect after which a machine counts as hearing nothing. One or two get
 /// lost when a controller is slow or a connection dies.
 pub const DEAF_ANSWERS: u32 = 3;
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -5,7 +5,7 @@
 use crate::ledger::{Lookup, Withdrawal};
 use crate::limiter::Limiter;
 use crate::node::{Ask, CheckInReply};
-use crate::peers::{PeerAsk, Peers};
+use crate::peers::{PeerAnswer, PeerAsk, Peers};
 use crate::records::{FinalRecord, JobRecord, LEAD_NOW, final_key, job_key};
 use hookway_clients::{CommitOutcome, StoreClient, StoreError};
 use hookway_constants as constants;
@@ -398,8 +398,8 @@
     }
 
     /// Answers another controller, from this node's own knowledge.
-    pub async fn answer_peer(&self, ask: PeerAsk) -> Verdict {
-        match ask {
+    pub async fn answer_peer(&self, ask: PeerAsk) -> PeerAnswer {
+        PeerAnswer::Verdict(match ask {
             PeerAsk::Status(id) => match JobId::parse(&id) {
                 Some(id) => self.status(&id, true).await,
                 None => Verdict::Absent,
@@ -409,6 +409,25 @@
                 None => Verdict::Absent,
             },
             PeerAsk::Submit(body) => self.submit(&body, true).await,
+            PeerAsk::Renew(renewal) => {
+                return PeerAnswer::Block(self.ask(|r| Ask::Renew(renewal, r)).await);
+            }
+        })
+    }
+
+    /// Keeps this node's block leased for as long as another node leads and can be reached.
+    pub async fn hold_block(&self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(constants::RENEW_EVERY_MS)).await;
+            let Some(leader) = self.view.borrow().leader.clone().filter(|l| *l != self.label)
+            else {
+                continue;
+            };
+            let Some((renewal, sent)) = self.ask(Ask::Renewal).await else { continue };
+            match self.peers.renew(&leader, renewal).await {
+                Ok(lease) => drop(self.node.send(Ask::Leased(lease, sent)).await),
+                Err(e) => tracing::debug!("renewing the block with {leader}: {e}"),
+            }
         }
     }
 
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -19,6 +19,9 @@
 pub struct Sibling {
     /// Its name.
     pub label: String,
+    /// Its zone.
+    #[serde(default)]
+    pub domain: String,
     /// Where it listens for other controllers.
     pub address: String,
 }
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -759,7 +759,7 @@
     /// Time passes: what is on machines whose lease has surely run out is gone, and starts that
     /// wait for a silent machine are dropped.
     pub fn pass_time(&mut self, now: u64) {
-        if now >= self.unheard_until {
+        if self.unheard_over(now) {
             self.writer.roster.forget_unreadable();
         }
         let quiet = (self.setup.params.workers.report_s * 2500.0) as u64;
@@ -783,7 +783,7 @@
     fn expire_if_silent(&mut self, name: &str, now: u64) -> bool {
         let lease = lease_over_ms(&self.setup.params);
         let Some(host) = self.hosts.get_mut(name) else { return false };
-        if now < host.last_answer + lease {
+        if !self.holders.lease_over(&host.yard, host.last_answer, lease, now) {
             return false;
         }
         if host.heard && host.dead_tenure < host.newest.0 {
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -301,7 +301,7 @@
         let unheard_go = !settled
             && waiting
             && now >= self.won_at.max(self.resumed_at) + unheard_patience
-            && now + constants::UNHEARD_WORTH_MS < self.unheard_until;
+            && now + constants::UNHEARD_WORTH_MS < self.unheard_since + lease;
         self.note_needs(now);
         let spares = self.spares(now);
         let lost = self.lost_hosts(now, unheard_patience);
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::blocks::Blocks;
 use crate::config::{OperatorSettings, Params};
+use crate::holders::{BlockLease, Holders, Renewal};
 use crate::records::{
     FinalRecord, ImagesRecord, JobRecord, LaneRecord, MinimumRecord, ProgressRecord, RosterRecord,
 };
@@ -29,6 +30,10 @@
 pub struct Setup {
     /// This node's name.
     pub label: String,
+    /// This node's zone.
+    pub domain: String,
+    /// The other controllers, with their zones.
+    pub siblings: Vec<(String, String)>,
     /// The platform's settings.
     pub params: Params,
     /// The operators' settings.
@@ -133,8 +138,10 @@
     blocks: Blocks,
     /// Machines of the roster that have not reported to this leader yet.
     unheard: HashSet<String>,
-    /// When the leases of those are surely over.
-    unheard_until: u64,
+    /// When those may have been answered last by an earlier leader.
+    unheard_since: u64,
+    /// Which controllers may answer workers while the leader can't.
+    holders: Holders,
     /// When this leader could last not answer workers; silence before that is not the workers'.
     resumed_at: u64,
     writer: Writer,
@@ -213,7 +220,13 @@
         at: Moment,
     ) -> Self {
         let writer = Writer::new(&setup.params, lead, at.now);
-        let lease_ms = lease_over_ms(&setup.params);
+        let holders = Holders::new(
+            &setup.domain,
+            &setup.siblings,
+            &setup.params.zones,
+            setup.operator.block_lease_ms,
+            at.now,
+        );
         let mut ledger = Self {
             setup,
             term,
@@ -230,7 +243,8 @@
             buried: Recent::new(constants::RECENT_KEPT),
             blocks: Blocks::default(),
             unheard: HashSet::new(),
-            unheard_until: at.now + lease_ms,
+            unheard_since: at.now,
+            holders,
             resumed_at: at.now,
             writer,
             decided: Vec::new(),
@@ -386,7 +400,31 @@
     /// Whether everything that an earlier leader may have started is accounted for: each machine of
     /// the roster has reported, is gone, or its lease has surely run out.
     pub fn settled(&self, now: u64) -> bool {
-        self.unheard.is_empty() || now >= self.unheard_until
+        self.unheard.is_empty() || self.unheard_over(now)
+    }
+
+    /// Whether the leases of all workers that have not reported to this leader are surely over.
+    fn unheard_over(&self, now: u64) -> bool {
+        let lease = lease_over_ms(&self.setup.params);
+        self.holders.lease_over("", self.unheard_since, lease, now)
+    }
+
+    /// Another controller asks for its block.
+    pub fn renew_block(&mut self, renewal: &Renewal, now: u64) -> Option<BlockLease> {
+        self.holders.renew(self.term, renewal, now)
+    }
+
+    /// Zones whose block this leader holds itself.
+    pub fn own_block(&self) -> Vec<String> {
+        self.holders.own_block()
+    }
+
+    /// This node answered a worker as a holder while its leadership was in doubt.
+    pub fn kept_alive(&mut self, name: &str, now: u64) {
+        self.unheard_since = self.unheard_since.max(now);
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.last_answer = host.last_answer.max(now);
+        }
     }
 
     /// Takes in an accepted job, from a watch or a reading of the store. `inherited` says that an
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,6 +1,7 @@
 //! The node's actor. It owns the ledger while the node leads, answers what is asked of it, and
 //! carries out what the ledger wants from the state service and the cloud.
 
+use crate::holders::{BlockLease, Holding, Renewal};
 use crate::lead::{Clock, Mandate, Validity, View};
 use crate::ledger::{
     Commit, CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal,
@@ -30,6 +31,12 @@
     /// A job's record was found in the state service, in this term. A record that was read in an
     /// earlier term may be of a job that ended since.
     Adopt(Option<u64>, String, serde_json::Value, oneshot::Sender<Option<()>>),
+    /// Another controller asks for its block.
+    Renew(Renewal, oneshot::Sender<Option<BlockLease>>),
+    /// What this node has to say when it asks the leader for its block, and the time, ms. `None`: it leads.
+    Renewal(oneshot::Sender<Option<(Renewal, u64)>>),
+    /// The leader's answer to what was sent at that time, ms.
+    Leased(BlockLease, u64),
 }
 
 /// The answer to a report.
@@ -79,6 +86,8 @@
     pub asks: mpsc::Receiver<Ask>,
     /// When this node last stepped down for lack of reports, ms.
     pub deserted_at: std::cell::Cell<Option<u64>>,
+    /// The block that this node holds.
+    pub holding: std::cell::RefCell<Holding>,
 }
 
 /// One term of leadership.
@@ -118,18 +127,29 @@
 
     fn not_leading(&self, ask: Ask) {
         match ask {
-            Ask::CheckIn(_, reply) => {
+            Ask::CheckIn(report, reply) => {
+                let kept = self.holding.borrow_mut().keep(&report, self.clock.now());
                 let leader = self.view.borrow().leader.clone();
                 let other = leader.filter(|l| *l != self.setup.label);
-                let _ = reply.send(CheckInReply::Elsewhere(other));
+                let _ =
+                    reply.send(kept.map_or(CheckInReply::Elsewhere(other), CheckInReply::Answer));
             }
             Ask::Status(_, reply) => drop(reply.send(None)),
             Ask::Withdraw(_, reply) => drop(reply.send(None)),
             Ask::Adopt(_, _, _, reply) => drop(reply.send(None)),
+            Ask::Renew(_, reply) => drop(reply.send(None)),
+            Ask::Renewal(reply) => {
+                let now = self.clock.now();
+                let _ = reply.send(Some((self.holding.borrow().renewal(now), now)));
+            }
+            Ask::Leased(lease, sent) => {
+                self.holding.borrow_mut().leased(lease, sent, self.clock.now());
+            }
         }
     }
 
     async fn lead(&mut self, mandate: Mandate) {
+        self.holding.borrow_mut().won(mandate.term);
         let (notes, mut inbox) = mpsc::channel(constants::MAILBOX);
         let mut term = Term {
             mandate,
@@ -237,7 +257,17 @@
         let entitled = self.validity.holds(now) && !term.paused;
         let Some(ledger) = term.ledger.as_mut().filter(|_| entitled) else {
             match ask {
-                Ask::CheckIn(_, reply) => drop(reply.send(CheckInReply::Unsure)),
+                Ask::CheckIn(report, reply) => {
+                    let kept = self.holding.borrow_mut().keep(&report, now);
+                    if kept.is_some()
+                        && let Some(ledger) = &mut term.ledger
+                    {
+                        ledger.kept_alive(&report.host, now);
+                    }
+                    let _ = reply.send(kept.map_or(CheckInReply::Unsure, CheckInReply::Answer));
+                }
+                Ask::Renewal(reply) => drop(reply.send(None)),
+                Ask::Leased(..) => {}
                 other => self.not_leading(other),
             }
             return;
@@ -263,6 +293,9 @@
                 }
                 let _ = reply.send(Some(()));
             }
+            Ask::Renew(renewal, reply) => drop(reply.send(ledger.renew_block(&renewal, now))),
+            Ask::Renewal(reply) => drop(reply.send(None)),
+            Ask::Leased(..) => {}
         }
     }
 
@@ -373,6 +406,8 @@
             term.paused = false;
             ledger.resumed(now);
         }
+        let lease_ms = self.setup.operator.block_lease_ms;
+        self.holding.borrow_mut().lead(term.mandate.term, ledger.own_block(), lease_ms, now);
         ledger.tell_time(self.clock.moment());
         if ledger.deserted(now)
             && self.deserted_at.get().is_none_or(|at| now >= at + constants::DESERTED_AGAIN_MS)
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -2,6 +2,7 @@
 //! by a user that only the leader knows, or that can't reach the state service itself, asks here.
 
 use crate::api::{Desk, Verdict};
+use crate::holders::{BlockLease, Renewal};
 use hookway_constants as constants;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -19,6 +20,17 @@
     Withdraw(String),
     /// Accept a job: the user's body.
     Submit(Vec<u8>),
+    /// Lease the asker's block to it.
+    Renew(Renewal),
+}
+
+/// The answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// To a user's request.
+    Verdict(Verdict),
+    /// To a renewal; `None`: this node does not lead.
+    Block(Option<BlockLease>),
 }
 
 /// Why an exchange with another controller failed.
@@ -64,7 +76,7 @@
         .map_err(|e| PeerError::Message(e.to_string()))
 }
 
-async fn over(stream: &mut TcpStream, ask: &PeerAsk) -> Result<Verdict, PeerError> {
+async fn over(stream: &mut TcpStream, ask: &PeerAsk) -> Result<PeerAnswer, PeerError> {
     send(stream, ask).await?;
     receive(stream).await
 }
@@ -87,13 +99,35 @@
         self.addresses.keys().cloned().collect()
     }
 
-    /// One exchange.
+    /// Asks about a user's request.
     pub async fn ask(
         &self,
         name: &str,
         ask: &PeerAsk,
         limit_ms: u64,
     ) -> Result<Verdict, PeerError> {
+        match self.exchange(name, ask, limit_ms).await? {
+            PeerAnswer::Verdict(verdict) => Ok(verdict),
+            PeerAnswer::Block(_) => Err(PeerError::Message("not an answer to this".into())),
+        }
+    }
+
+    /// Asks the leader for this node's block.
+    pub async fn renew(&self, name: &str, renewal: Renewal) -> Result<BlockLease, PeerError> {
+        let ask = PeerAsk::Renew(renewal);
+        match self.exchange(name, &ask, constants::PEER_TIMEOUT_MS).await? {
+            PeerAnswer::Block(Some(lease)) => Ok(lease),
+            _ => Err(PeerError::Message("it does not lead".into())),
+        }
+    }
+
+    /// One exchange.
+    async fn exchange(
+        &self,
+        name: &str,
+        ask: &PeerAsk,
+        limit_ms: u64,
+    ) -> Result<PeerAnswer, PeerError> {
         let address = self.addresses.get(name).ok_or(PeerError::Unknown)?;
         let work = async {
             let kept = self.idle.lock().ok().and_then(|mut i| i.get_mut(name)?.pop());
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -3,6 +3,7 @@
 use crate::api::{self, Desk};
 use crate::config::{OperatorSettings, Settings};
 use crate::door::Door;
+use crate::holders::{Holding, patience_ms};
 use crate::lead::{Clock, Leadership, Validity, View};
 use crate::ledger::Setup;
 use crate::node::Node;
@@ -28,6 +29,7 @@
 pub async fn run(settings: Settings, operator: OperatorSettings) -> Result<(), StartError> {
     let params = settings.settings.clone();
     let label = settings.label.clone();
+    let patience = patience_ms(params.workers.report_s, params.workers.lease_s);
     let door = Door::for_machine(params.machine_limits.max_sockets, params.workers.report_s);
     let clock = Clock::default();
     let store =
@@ -68,7 +70,17 @@
         doubt: doubt.clone(),
     };
     let node = Node {
-        setup: Setup { label: label.clone(), params, operator },
+        setup: Setup {
+            label: label.clone(),
+            domain: settings.domain.clone(),
+            siblings: settings
+                .siblings
+                .iter()
+                .map(|s| (s.label.clone(), s.domain.clone()))
+                .collect(),
+            params,
+            operator,
+        },
         store,
         cloud: cloud.clone(),
         workers: WorkerClient::default(),
@@ -79,11 +91,14 @@
         flavors,
         asks,
         deserted_at: std::cell::Cell::new(None),
+        holding: std::cell::RefCell::new(Holding::new(&label, rand::random(), patience)),
     };
     tokio::spawn(leadership.run());
     tokio::spawn(node.run());
     tokio::spawn(read_flavors(cloud, flavors_tx));
     tokio::spawn(peers::serve(peer_listener, desk.clone()));
+    let holder = desk.clone();
+    tokio::spawn(async move { holder.hold_block().await });
     for o in &settings.settings.objectives {
         let class = o.class.as_deref().unwrap_or("-");
         tracing::debug!("aim: {} of {class} within {:?} s", o.kind, o.within_s);
--- a/crates/controller/tests/api.rs
+++ b/crates/controller/tests/api.rs
@@ -75,6 +75,9 @@
                     let _ = reply.send(leads.then_some(answer));
                 }
                 Ask::Adopt(_, _, _, reply) => drop(reply.send(Some(()))),
+                Ask::Renew(_, reply) => drop(reply.send(None)),
+                Ask::Renewal(reply) => drop(reply.send(None)),
+                Ask::Leased(..) => {}
             }
         }
     });
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -35,6 +35,8 @@
     let settings = SETTINGS.replace("write_rps = 25.0", "write_rps = 1000.0");
     Setup {
         label: "worker-0".into(),
+        domain: "a".into(),
+        siblings: vec![],
         params: Settings::parse(&settings).expect("sound settings").settings,
         operator: OperatorSettings::default(),
     }
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -29,6 +29,11 @@
         Self { report, baton: 0, started: vec![] }
     }
 
+    /// Its zone.
+    pub fn zone(&self) -> &str {
+        &self.report.yard
+    }
+
     /// Its next report.
     pub fn report(&mut self) -> CheckIn {
         self.report.tick += 1;
