--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -226,11 +226,11 @@
 
     /// Zones of which only a few machines are `missing`: gone, most likely. When many of a zone are missing
     /// together a network is cut, and they may be back.
-    fn few_missing<'a>(
-        &'a self,
+    fn few_missing(
+        &self,
         counts: impl Fn(&Host) -> bool,
         missing: impl Fn(&str, &Host) -> bool,
-    ) -> HashSet<&'a str> {
+    ) -> HashSet<&str> {
         let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
         for (name, host) in self.hosts.iter().filter(|(_, h)| counts(h)) {
             let (all, gone) = zones.entry(&host.yard).or_default();
--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -249,14 +249,14 @@
     /// in a fraction of a second, and copies of its messages stay behind.
     fn hold(&mut self) {
         let now = self.now;
-        for n in 0..self.siblings.len() {
+        for (n, zone) in ZONES.into_iter().enumerate() {
             let leads = self.leader.as_ref().is_some_and(|l| l.node == n);
             if !leads && self.chance(8) {
                 // The controller alone is cut off, or its whole zone.
                 let until = now + self.rng.random_range(1_000..60_000);
                 self.siblings[n].cut_until = until;
                 if self.rng.random_range(0..2) == 0 {
-                    let here = self.machines.iter_mut().filter(|m| m.worker.zone() == ZONES[n]);
+                    let here = self.machines.iter_mut().filter(|m| m.worker.zone() == zone);
                     here.for_each(|m| m.cut_until = until);
                 }
             }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -62,19 +62,19 @@
         && job.zone_open(host.yard)
 }
 
-fn best_host(world: &World, job_ix: usize, zone: Option<usize>) -> Option<usize> {
+/// The machines that the job could use, best first. What a task changes on its machine makes it a better
+/// fit for the next one and leaves the others as they were, so one look at all of them is enough to place
+/// any number of tasks.
+fn by_fit(world: &World, job_ix: usize, zone: Option<usize>, roomy: &[usize]) -> Vec<usize> {
     let job = &world.jobs[job_ix];
-    let mut best: Option<(f64, usize)> = None;
-    for (i, host) in world.hosts.iter().enumerate() {
-        if zone.is_some_and(|z| z != host.yard) || !usable(job_ix, job, host) {
-            continue;
-        }
-        let cost = badness(world, job, host);
-        if best.is_none_or(|(b, _)| cost < b) {
-            best = Some((cost, i));
-        }
-    }
-    best.map(|(_, i)| i)
+    let mut fits: Vec<(f64, usize)> = roomy
+        .iter()
+        .map(|i| (*i, &world.hosts[*i]))
+        .filter(|(_, host)| zone.is_none_or(|z| z == host.yard) && usable(job_ix, job, host))
+        .map(|(i, host)| (badness(world, job, host), i))
+        .collect();
+    fits.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    fits.into_iter().map(|(_, i)| i).collect()
 }
 
 /// Puts a task of the job on a machine.
@@ -93,6 +93,17 @@
     }
 }
 
+/// The least of each amount that any task that could start takes: a machine with less free takes none.
+fn least_need(jobs: &[JobView]) -> Room {
+    let open = jobs.iter().filter(|j| j.startable > 0);
+    let all = Room { cpus: f64::INFINITY, gpus: f64::INFINITY, ram: f64::INFINITY };
+    open.fold(all, |least, j| Room {
+        cpus: least.cpus.min(j.need.cpus),
+        gpus: least.gpus.min(j.need.gpus),
+        ram: least.ram.min(j.need.ram),
+    })
+}
+
 fn zones(world: &World) -> usize {
     world.hosts.iter().map(|h| h.yard + 1).max().unwrap_or(0)
 }
@@ -124,7 +135,7 @@
 }
 
 /// Places up to `tasks` tasks of an array, or all of a gang; the world is updated.
-fn place_job(world: &mut World, job_ix: usize, tasks: u32) -> Vec<usize> {
+fn place_job(world: &mut World, job_ix: usize, tasks: u32, roomy: &[usize]) -> Vec<usize> {
     let job = &world.jobs[job_ix];
     let team = world.teams.get(job.team).cloned().unwrap_or_default();
     let tasks = tasks.min(job.startable);
@@ -146,10 +157,16 @@
     // What has to be put back if a gang finds room for part of it only.
     let before = gang.then(|| (world.jobs[job_ix].clone(), world.teams.clone()));
     let mut hosts = Vec::new();
-    while (hosts.len() as u32) < allowed {
-        let Some(host) = best_host(world, job_ix, zone) else { break };
-        put(world, job_ix, host);
-        hosts.push(host);
+    for host in by_fit(world, job_ix, zone, roomy) {
+        while (hosts.len() as u32) < allowed
+            && usable(job_ix, &world.jobs[job_ix], &world.hosts[host])
+        {
+            put(world, job_ix, host);
+            hosts.push(host);
+        }
+        if hosts.len() as u32 == allowed {
+            break;
+        }
     }
     if let Some((job, teams)) = before {
         // What was free before the gang was laid out, for a second look at it.
@@ -180,8 +197,11 @@
     let mut placed = Placed::default();
     let mut room_kept = false;
     let capacity = world.hosts.iter().filter(|h| h.open && !h.booting).map(|h| h.total.cpus).sum();
+    let least = least_need(&world.jobs);
+    let mut roomy: Vec<usize> = (0..world.hosts.len()).filter(|i| world.hosts[*i].open).collect();
     for turn in turns(&world.jobs, world.now, capacity) {
-        let hosts = place_job(world, turn.job, turn.tasks);
+        roomy.retain(|i| world.hosts[*i].free.fits(&least));
+        let hosts = place_job(world, turn.job, turn.tasks, &roomy);
         let job = &world.jobs[turn.job];
         if !job.gang && (hosts.len() as u32) < turn.tasks.min(job.startable) {
             let tasks = turn.tasks - hosts.len() as u32;
@@ -320,6 +340,52 @@
         }
     }
 
+    /// What [`by_fit`] and filling machine after machine must come to: the best machine, looked for anew
+    /// for each task.
+    fn one_by_one(world: &mut World, job_ix: usize, tasks: u32) -> Vec<usize> {
+        let mut hosts = Vec::new();
+        for _ in 0..tasks {
+            let job = &world.jobs[job_ix];
+            let open = |i: &usize| usable(job_ix, job, &world.hosts[*i]);
+            let cost = |i: &usize| badness(world, job, &world.hosts[*i]);
+            let best =
+                (0..world.hosts.len()).filter(open).min_by(|a, b| cost(a).total_cmp(&cost(b)));
+            let Some(host) = best else { break };
+            put(world, job_ix, host);
+            hosts.push(host);
+        }
+        hosts
+    }
+
+    #[test]
+    fn one_look_at_the_machines_places_like_a_look_for_each_task() {
+        use rand::{RngExt, SeedableRng};
+        let mut rng = rand::rngs::StdRng::seed_from_u64(7);
+        for _ in 0..200 {
+            let mut hosts: Vec<HostView> = (0..40).map(|_| host(rng.random_range(0..3))).collect();
+            for h in &mut hosts {
+                h.free.cpus = f64::from(rng.random_range(0..5u8));
+                h.images = (0..rng.random_range(0..3u32)).collect();
+                h.loaner = rng.random_range(0..3) == 0;
+                h.price = f64::from(rng.random_range(1..4u8));
+                h.open = rng.random_range(0..5) > 0;
+            }
+            let pieces: u32 = rng.random_range(1..60);
+            let spread = rng.random_range(0..3) == 0;
+            let wanted = JobView {
+                zone_cap: if spread { pieces.div_ceil(2) } else { pieces },
+                loaners: rng.random_range(0..2) == 0,
+                image: rng.random_range(0..3),
+                ..job(f64::from(rng.random_range(1..3u8)), pieces)
+            };
+            let mut w = world(vec![wanted], hosts);
+            w.cheapest_cpu = 0.25;
+            let mut same = w.clone();
+            let all: Vec<usize> = (0..40).collect();
+            assert_eq!(place_job(&mut w, 0, pieces, &all), one_by_one(&mut same, 0, pieces));
+        }
+    }
+
     pub(crate) fn host(yard: usize) -> HostView {
         let total = Room { cpus: 4.0, gpus: 0.0, ram: 16.0 };
         HostView {
