--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -47,6 +47,8 @@
 pub const MINIMUM_REWRITE_CHANGE: f64 = 0.25;
 /// Share of the store's request rate that one node allows itself.
 pub const NODE_REQUEST_SHARE: f64 = 0.3;
+/// The same for the leadership, which must not wait behind the rest.
+pub const LEADERSHIP_REQUEST_SHARE: f64 = 0.1;
 /// Bytes that a machine takes in a roster record with the hints about it, bytes: name, time, and up
 /// to `ROSTER_IMAGES` numbers. So many machines to a record as its value may hold.
 pub const ROSTER_ENTRY_BYTES: usize = 128;
@@ -70,6 +72,9 @@
 pub const TOKENS_PER_TERM: u64 = 4_096;
 /// Starts sent straight to workers at a time, in messages. Bounds sockets and bursts of work.
 pub const DIRECT_AT_MOST: usize = 48;
+/// Pause between two looks at which starts could be sent, ms. Hundreds of reports come in a second, and
+/// what a look costs grows with the machines that wait.
+pub const DIRECT_EVERY_MS: u64 = 50;
 /// Tasks in one such message.
 pub const DIRECT_TASKS: usize = 64;
 /// A worker that was given commands in an answer reports again within this, ms (protocol: half a
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -165,6 +165,9 @@
     /// `reap`, carries a higher one, after which the worker refuses the command.
     pub fn take_direct(&mut self, now: u64) -> Vec<(String, String, DirectOrders)> {
         let mut sends = Vec::new();
+        if self.directs >= constants::DIRECT_AT_MOST {
+            return sends;
+        }
         let names: Vec<String> = self.planned_on.iter().cloned().collect();
         for name in names {
             if self.directs + sends.len() >= constants::DIRECT_AT_MOST {
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -263,7 +263,11 @@
                 if turn.tasks == 0 || skipped || !free.fits(&job.need) {
                     continue;
                 }
-                let view = self.view(job, self.startable_now(job, now));
+                let startable = self.startable_now(job, now);
+                if startable == 0 {
+                    continue;
+                }
+                let view = self.view(job, startable);
                 if !view.allows(flavor, yard, loaner) || !view.zone_open(yard) {
                     continue;
                 }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -103,6 +103,7 @@
     last_list: Option<u64>,
     flavors_seen: Option<Arc<Vec<Flavor>>>,
     last_log: u64,
+    last_direct: u64,
 }
 
 impl Node {
@@ -163,6 +164,7 @@
             last_list: None,
             flavors_seen: None,
             last_log: 0,
+            last_direct: 0,
         };
         self.start_loading(&mut term);
         let mut tick = tokio::time::interval(Duration::from_millis(constants::TICK_MS));
@@ -374,7 +376,13 @@
             let workers = self.workers.clone();
             term.helpers.spawn(async move { workers.stop(&address, &orders).await });
         }
-        for (host, address, orders) in ledger.take_direct(now) {
+        // Every report comes by here, and machines whose tasks wait for the store are looked at in vain.
+        let due = now >= term.last_direct + constants::DIRECT_EVERY_MS;
+        let sends = if due { ledger.take_direct(now) } else { Vec::new() };
+        if due {
+            term.last_direct = now;
+        }
+        for (host, address, orders) in sends {
             let (workers, notes) = (self.workers.clone(), term.notes.clone());
             term.helpers.spawn(async move {
                 let delivery = workers.send(&address, &orders).await;
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -23,6 +23,9 @@
     /// An address can't be used.
     #[error("can't listen on {0}: {1}")]
     Listen(String, String),
+    /// No thread for the leadership.
+    #[error("can't start the leadership's thread: {0}")]
+    Thread(std::io::Error),
 }
 
 /// Runs a node until the process ends.
@@ -63,7 +66,10 @@
 
     let leadership = Leadership {
         label: label.clone(),
-        store: store.clone(),
+        store: StoreClient::new(
+            &settings.outside.state,
+            params.state.rps * constants::LEADERSHIP_REQUEST_SHARE,
+        ),
         clock,
         validity: validity.clone(),
         view: view_tx,
@@ -93,7 +99,7 @@
         deserted_at: std::cell::Cell::new(None),
         holding: std::cell::RefCell::new(Holding::new(&label, rand::random(), patience)),
     };
-    tokio::spawn(leadership.run());
+    leadership.spawn().map_err(StartError::Thread)?;
     tokio::spawn(node.run());
     tokio::spawn(read_flavors(cloud, flavors_tx));
     tokio::spawn(peers::serve(peer_listener, desk.clone()));
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,3 +1,4 @@
+use crate::place::least_need;
 use crate::{HostView, Room, World, wanted};
 
 /// A type, zone and kind of machine that can be rented now.
@@ -40,7 +41,9 @@
     let mut rented: Vec<(usize, Room)> = Vec::new();
     let mut used: Vec<Room> = world.teams.iter().map(|t| t.used).collect();
     // Work is laid out on cheap machines first, so that dear ones are the ones to return.
-    let mut by_price: Vec<usize> = (0..world.hosts.len()).collect();
+    let least = least_need(&world.jobs);
+    let mut by_price: Vec<usize> =
+        (0..world.hosts.len()).filter(|i| free[*i].fits(&least)).collect();
     by_price.sort_by(|a, b| {
         let (a, b) = (&world.hosts[*a], &world.hosts[*b]);
         let rank = |h: &HostView| (h.booting, h.held.is_empty());
@@ -63,6 +66,7 @@
                 used[job.team].give(&job.need);
             }
         }
+        by_price.retain(|i| free[*i].fits(&least));
         for &i in &by_price {
             let host = &world.hosts[i];
             if short == 0 {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -94,7 +94,7 @@
 }
 
 /// The least of each amount that any task that could start takes: a machine with less free takes none.
-fn least_need(jobs: &[JobView]) -> Room {
+pub(crate) fn least_need(jobs: &[JobView]) -> Room {
     let open = jobs.iter().filter(|j| j.startable > 0);
     let all = Room { cpus: f64::INFINITY, gpus: f64::INFINITY, ram: f64::INFINITY };
     open.fold(all, |least, j| Room {
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -108,6 +108,10 @@
 /// its team's guarantee. Only what the job needs at least is made room for: a gang whole, an array
 /// one task a round.
 pub fn evict(world: &World) -> Vec<Eviction> {
+    // A look at all that runs is worth it only where something may be pushed aside at all.
+    let held = world.hosts.iter().flat_map(|h| &h.held);
+    let lowest = held.map(|h| world.jobs[h.job].rank).min();
+    let guaranteed = world.teams.iter().any(|t| t.guaranteed.0 > 0.0 || t.guaranteed.1 > 0.0);
     let mut waiting: Vec<usize> = (0..world.jobs.len())
         .filter(|i| {
             let job = &world.jobs[*i];
@@ -115,6 +119,7 @@
             // One batch of stops at a time: machines that are being cleared for it stay kept.
             let clearing = world.hosts.iter().any(|h| h.kept_for == Some(*i));
             job.startable > 0
+                && (guaranteed || lowest.is_some_and(|rank| rank < job.rank))
                 && short
                 && !clearing
                 && world.now - job.waiting_since >= constants::PREEMPT_AFTER_MS as f64 / 1000.0
