--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -45,8 +45,11 @@
 pub const OPEN_LEAST: u32 = 32;
 /// Relative change of a minimum that makes its record be written again (the design's quarter).
 pub const MINIMUM_REWRITE_CHANGE: f64 = 0.25;
-/// Share of the store's request rate that one node allows itself.
+/// Share of the store's request rate that one node's ledger allows itself; only the leader's has any use
+/// for it.
 pub const NODE_REQUEST_SHARE: f64 = 0.3;
+/// The same for what users ask of a node.
+pub const DESK_REQUEST_SHARE: f64 = 0.2;
 /// The same for the leadership, which must not wait behind the rest.
 pub const LEADERSHIP_REQUEST_SHARE: f64 = 0.1;
 /// Bytes that a machine takes in a roster record with the hints about it, bytes: name, time, and up
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -113,15 +113,6 @@
 }
 
 impl Leadership {
-    /// Runs on a thread of its own until the process ends: when hundreds of reports wait for the others,
-    /// the lease must be extended all the same, or a wave of reports would cost the leader its term and
-    /// bring on the next wave.
-    pub fn spawn(self) -> std::io::Result<()> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let run = move || runtime.block_on(self.run());
-        std::thread::Builder::new().name("leadership".into()).spawn(run).map(drop)
-    }
-
     /// Runs until the process ends.
     pub async fn run(self) {
         let mut nonce: u64 = rand::rng().random();
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -35,8 +35,9 @@
     let patience = patience_ms(params.workers.report_s, params.workers.lease_s);
     let door = Door::for_machine(params.machine_limits.max_sockets, params.workers.report_s);
     let clock = Clock::default();
-    let store =
-        StoreClient::new(&settings.outside.state, params.state.rps * constants::NODE_REQUEST_SHARE);
+    let rps = params.state.rps;
+    let client = |share: f64| StoreClient::new(&settings.outside.state, rps * share);
+    let store = client(constants::DESK_REQUEST_SHARE);
     let cloud =
         CloudClient::new(&settings.outside.cloud, params.cloud.rps * constants::CLOUD_RATE_SHARE);
     let (view_tx, view) = watch::channel(View::default());
@@ -66,10 +67,7 @@
 
     let leadership = Leadership {
         label: label.clone(),
-        store: StoreClient::new(
-            &settings.outside.state,
-            params.state.rps * constants::LEADERSHIP_REQUEST_SHARE,
-        ),
+        store: client(constants::LEADERSHIP_REQUEST_SHARE),
         clock,
         validity: validity.clone(),
         view: view_tx,
@@ -87,7 +85,7 @@
             params,
             operator,
         },
-        store,
+        store: client(constants::NODE_REQUEST_SHARE),
         cloud: cloud.clone(),
         workers: WorkerClient::default(),
         clock,
@@ -99,8 +97,10 @@
         deserted_at: std::cell::Cell::new(None),
         holding: std::cell::RefCell::new(Holding::new(&label, rand::random(), patience)),
     };
-    leadership.spawn().map_err(StartError::Thread)?;
-    tokio::spawn(node.run());
+    // The lease must be extended and users answered whatever a round of the ledger takes: each of the
+    // three has a thread of its own.
+    on_a_thread("leadership", leadership.run()).map_err(StartError::Thread)?;
+    on_a_thread("ledger", node.run()).map_err(StartError::Thread)?;
     tokio::spawn(read_flavors(cloud, flavors_tx));
     tokio::spawn(peers::serve(peer_listener, desk.clone()));
     let holder = desk.clone();
@@ -114,6 +114,16 @@
     Ok(())
 }
 
+/// Runs an actor on a thread of its own until the process ends.
+fn on_a_thread(
+    name: &str,
+    actor: impl Future<Output = ()> + Send + 'static,
+) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let run = move || runtime.block_on(actor);
+    std::thread::Builder::new().name(name.into()).spawn(run).map(drop)
+}
+
 /// Keeps the machine types and their prices up to date.
 async fn read_flavors(cloud: CloudClient, out: watch::Sender<Option<Arc<Vec<Flavor>>>>) {
     loop {
