--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1270,3 +1270,39 @@
     play.settle(&mut b.iter_mut().collect::<Vec<_>>());
     assert!(b.iter().all(|w| w.live().len() == 1), "back, they get work at once");
 }
+
+/// Incidents inc-f021 and inc-e25c: each controller that leads is killed about every 11 s, sixteen times
+/// in a row, and is back in a fraction of a second, in the middle of the next one's election.
+#[test]
+fn a_leader_that_is_killed_every_few_seconds_costs_no_work() {
+    let mut play = Play::start();
+    let (mut one, mut two) = (small("m-1", "a"), small("m-2", "b"));
+    let id = play.submit(job("req-000001", "array", 16));
+    for term in 1..=16 {
+        let begun = play.now;
+        while play.now < begun + 11_000 {
+            for w in [&mut one, &mut two] {
+                play.beat(w);
+                play.now += 500;
+                // Each task takes a few seconds; what a killed leader never heard, the next one hears.
+                if play.now.is_multiple_of(2_000) {
+                    for task in w.live() {
+                        assert!(w.end(&task, Cause::Done));
+                    }
+                }
+            }
+            play.wait(500);
+        }
+        let next = 1 + term * hookway_constants::TOKENS_PER_TERM;
+        play = Play::lead(play.store.clone(), next, play.now + 200);
+    }
+    play.settle(&mut [&mut one, &mut two]);
+    let so_far = (&one.started, &two.started);
+    assert_eq!(play.stored_final(&id).as_deref(), Some("done"), "{so_far:?}");
+    let mut started: Vec<&String> =
+        one.started.iter().chain(&two.started).map(|(task, _)| task).collect();
+    assert_eq!(started.len(), 16, "no task was started twice");
+    started.sort();
+    started.dedup();
+    assert_eq!(started.len(), 16);
+}
