Times of tasks that an earlier leader started do not count; docs

A new leader counted the run of tasks that it found from when it first saw them, so means came out at a fraction of the truth and whatever ran on looked stuck. Tried before and not kept: that a slow task must also exceed the mean by two reports (no fewer machines returned).

--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -392,6 +392,7 @@
             pushed: false,
             running_since: (piece.status == PieceState::Running).then_some(now),
             since: now,
+            found: true,
         };
         if let Some(job) = job {
             let first = job.slots[task.index as usize] == Slot::Free && job.live();
@@ -483,11 +484,13 @@
 
     fn ended_with(&mut self, name: &str, key: u64, held: &Held, cause: Cause, now: u64) {
         if cause == Cause::Done {
-            // After a silence nobody knows when it ended.
+            // After a silence nobody knows when it ended, and of one that an earlier leader started,
+            // when it began: such times would make the mean too short.
             let heard = self.hosts.get(name).map_or(0, |h| h.last_answer);
             let report_ms = self.setup.params.workers.report_s * 1000.0;
             let silence = now.saturating_sub(heard) as f64 > 2.0 * report_ms;
-            let took = held.running_since.map(|s| now.saturating_sub(s)).filter(|_| !silence);
+            let known = !silence && !held.found;
+            let took = held.running_since.filter(|_| known).map(|s| now.saturating_sub(s));
             let mean = self.jobs.get(&key).and_then(Job::solid_mean);
             self.complete(key, held.index, took);
             if let Some(host) = self.hosts.get_mut(name) {
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -309,6 +309,8 @@
     pub running_since: Option<u64>,
     /// When its place was taken, ms.
     pub since: u64,
+    /// Found in a report: nobody here knows when it began.
+    pub found: bool,
 }
 
 /// An ended task that the worker still reports.
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -495,6 +495,7 @@
                 pushed: false,
                 running_since: None,
                 since: now,
+                found: false,
             });
         }
     }
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1306,3 +1306,25 @@
     started.dedup();
     assert_eq!(started.len(), 16);
 }
+
+#[test]
+fn tasks_that_began_under_an_earlier_leader_do_not_tell_how_long_one_takes() {
+    let mut play = Play::start();
+    let mut workers: Vec<ScriptedWorker> = (1..=6).map(|n| small(&format!("m-{n}"), "a")).collect();
+    play.submit(job("req-000001", "array", 6));
+    for _ in 0..10 {
+        play.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    }
+    // A new leader sees five of them end after a second, having run for twenty before.
+    let mut next = Play::lead(play.store.clone(), 2, play.now + 1_000);
+    next.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    for worker in &mut workers[..5] {
+        let task = worker.live()[0].clone();
+        worker.end(&task, Cause::Done);
+    }
+    for _ in 0..10 {
+        next.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    }
+    assert_eq!(workers[5].live().len(), 1, "the sixth is no longer than the others were");
+    assert_eq!(workers.iter().map(|w| w.started.len()).sum::<usize>(), 6);
+}
