A lease of a later term does not entitle what an earlier one knew

Found on reading over, now that the lease has a thread of its own: while a round of an old term runs, the node may lose that term and win a later one, and the old ledger would have taken the new lease for its own. The validity names its term; a test holds it.

--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -12,8 +12,7 @@
 use hookway_constants as constants;
 use hookway_wire::{Change, Event, Guard, KeyValue, Transaction};
 use rand::RngExt;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -70,18 +69,21 @@
     pub mandate: Option<Mandate>,
 }
 
-/// How long this node's lease surely lasts.
+/// For which term this node's lease is, and how long it surely lasts, ms.
 #[derive(Debug, Default)]
-pub struct Validity(AtomicU64);
+pub struct Validity(Mutex<(u64, u64)>);
 
 impl Validity {
-    /// Whether this node may act as the leader at `now`, ms.
-    pub fn holds(&self, now: u64) -> bool {
-        now < self.0.load(Ordering::Relaxed)
+    /// Whether this node may act as the leader of `term` at `now`, ms. A lease of a later term entitles
+    /// nobody to decide from what was known in an earlier one: another node may have led between them.
+    pub fn holds(&self, term: u64, now: u64) -> bool {
+        self.0.lock().is_ok_and(|lease| lease.0 == term && now < lease.1)
     }
 
-    fn set(&self, until: u64) {
-        self.0.store(until, Ordering::Relaxed);
+    fn set(&self, term: u64, until: u64) {
+        if let Ok(mut lease) = self.0.lock() {
+            *lease = (term, until);
+        }
     }
 }
 
@@ -259,7 +261,7 @@
     /// Leads until the lease is lost.
     async fn lead(&self, record: &LeadRecord, stamp: u64, permit: u64, until: u64, marked: bool) {
         tracing::info!("leading, term {}", record.term);
-        self.validity.set(until);
+        self.validity.set(record.term, until);
         let guard = Guard { key: LEAD_NOW.into(), stamp };
         let mandate = Mandate { term: record.term, guard, permit, marked };
         self.publish(Some(self.label.clone()), Some(mandate));
@@ -272,7 +274,7 @@
             let sent = self.clock.now();
             match self.store.extend(permit).await {
                 Ok(()) => {
-                    self.validity.set(valid_until(sent, constants::LEADER_TTL_MS));
+                    self.validity.set(record.term, valid_until(sent, constants::LEADER_TTL_MS));
                     pause = constants::LEADER_EXTEND_EVERY_MS;
                 }
                 Err(StoreError::NoLease) => break false,
@@ -282,7 +284,7 @@
                 }
             }
         };
-        self.validity.set(0);
+        self.validity.set(record.term, 0);
         tracing::info!("not leading any more");
         self.publish(None, None);
         let _ = self.store.release(permit).await;
@@ -300,9 +302,21 @@
     #[test]
     fn the_leader_counts_its_lease_from_before_the_request() {
         let validity = Validity::default();
-        assert!(!validity.holds(0));
-        validity.set(valid_until(1_000, 5_000));
-        assert!(validity.holds(5_600));
-        assert!(!validity.holds(5_700), "drift and margin are taken off");
+        assert!(!validity.holds(1, 0));
+        validity.set(1, valid_until(1_000, 5_000));
+        assert!(validity.holds(1, 5_600));
+        assert!(!validity.holds(1, 5_700), "drift and margin are taken off");
+    }
+
+    /// The lease is extended on another thread than the ledger is on: while a round of an old term still
+    /// runs, this node may have lost that term and won a later one.
+    #[test]
+    fn a_lease_of_a_later_term_does_not_entitle_an_earlier_one() {
+        let validity = Validity::default();
+        validity.set(1, 5_000);
+        validity.set(1, 0);
+        validity.set(9, 20_000);
+        assert!(!validity.holds(1, 4_000), "another node may have led meanwhile");
+        assert!(validity.holds(9, 4_000));
     }
 }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -256,7 +256,7 @@
 
     fn answer(&self, term: &mut Term, ask: Ask) {
         let now = self.clock.now();
-        let entitled = self.validity.holds(now) && !term.paused;
+        let entitled = self.validity.holds(term.mandate.term, now) && !term.paused;
         let Some(ledger) = term.ledger.as_mut().filter(|_| entitled) else {
             match ask {
                 Ask::CheckIn(report, reply) => {
@@ -368,7 +368,7 @@
     /// Starts the next transaction, if there is one.
     fn flush(&self, term: &mut Term) {
         let now = self.clock.now();
-        if !self.validity.holds(now) {
+        if !self.validity.holds(term.mandate.term, now) {
             return;
         }
         let Some(ledger) = term.ledger.as_mut() else { return };
@@ -400,7 +400,7 @@
     /// The leader's clockwork.
     fn work(&self, term: &mut Term) {
         let now = self.clock.now();
-        let valid = self.validity.holds(now);
+        let valid = self.validity.holds(term.mandate.term, now);
         let Some(ledger) = &mut term.ledger else { return };
         if !valid {
             if !term.paused {
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -23,8 +23,8 @@
     /// An address can't be used.
     #[error("can't listen on {0}: {1}")]
     Listen(String, String),
-    /// No thread for the leadership.
-    #[error("can't start the leadership's thread: {0}")]
+    /// No thread for an actor.
+    #[error("can't start a thread: {0}")]
     Thread(std::io::Error),
 }
 
--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -44,7 +44,7 @@
     let mut one = start("one", &address);
     let first = leads(&mut one).await;
     assert_eq!(first.term, 1);
-    assert!(one.validity.holds(one.clock.now()));
+    assert!(one.validity.holds(first.term, one.clock.now()));
     let mut two = start("two", &address);
     two.view.wait_for(|v| v.leader.as_deref() == Some("one")).await.expect("the actor lives");
     assert_eq!(two.view.borrow().mandate, None, "one leader at a time");
