--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -245,12 +245,25 @@
             ("settings.state.write_rps", p.state.write_rps),
             ("settings.state.value_kb", p.state.value_kb),
             ("settings.cloud.rps", p.cloud.rps),
+            ("settings.machine_limits.core_share", p.machine_limits.core_share),
         ];
         for (name, value) in positive {
             if !(value.is_finite() && value > 0.0) {
                 return Err(format!("{name} must be a number above 0, not {value}"));
             }
         }
+        let amounts = [
+            ("settings.clock_off_ms", p.clock_off_ms),
+            ("settings.cloud.list_lag_s", p.cloud.list_lag_s),
+        ];
+        for (name, value) in amounts {
+            if !(value.is_finite() && value >= 0.0) {
+                return Err(format!("{name} must be a number of at least 0, not {value}"));
+            }
+        }
+        if p.machine_limits.max_sockets == 0 {
+            return Err("settings.machine_limits.max_sockets must be at least 1".into());
+        }
         if p.state.txn_ops < 2 {
             return Err("settings.state.txn_ops must be at least 2".into());
         }
@@ -344,6 +357,12 @@
         assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
         let broken = SETTINGS.replace("lease_s = 14.0", "lease_s = -1.0");
         assert!(Settings::parse(&broken).unwrap_err().contains("lease_s"));
+        let broken = format!("{SETTINGS}[settings.machine_limits]\nmax_sockets = 0\n");
+        assert!(Settings::parse(&broken).unwrap_err().contains("max_sockets"));
+        let broken = format!("{SETTINGS}[settings.machine_limits]\ncore_share = -0.1\n");
+        assert!(Settings::parse(&broken).unwrap_err().contains("core_share"));
+        let broken = SETTINGS.replace("list_lag_s = 4.0", "list_lag_s = nan");
+        assert!(Settings::parse(&broken).unwrap_err().contains("list_lag_s"));
         let broken = SETTINGS.replace("state = \"127.0.0.1:1\"", "state = \"nowhere\"");
         assert!(Settings::parse(&broken).unwrap_err().contains("outside.state"));
     }
