No block is leased while a withdrawn task may be anywhere, and leases end within a cancellation's time

Found on reading over: a holder kept workers alive for its lease of 30 s and theirs, which is the time for a cancellation to the second; a task withdrawn as its zone was cut off, or that a new leader had not heard of yet, could have outlived it. A test fails without either half.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -177,6 +177,9 @@
 /// Length of a block lease from the leader to a controller, ms. The design begins with 15 s; a worker in a
 /// zone that is cut off lives for this long and its own lease, and zones are cut for a minute.
 pub const BLOCK_LEASE_MS: u64 = 30_000;
+/// So much before the time for a cancellation is over a block's lease and a worker's lease after it must
+/// have ended, ms: drift of the clocks, and a worker that is a little late.
+pub const CANCEL_MARGIN_MS: f64 = 1_000.0;
 /// Pause between two renewals of a block, ms. So much later than without a holder a lease counts as over.
 pub const RENEW_EVERY_MS: u64 = 1_000;
 /// Answers in a row without effect after which a machine counts as hearing nothing. One or two get
--- a/crates/controller/src/holders.rs
+++ b/crates/controller/src/holders.rs
@@ -66,7 +66,6 @@
 pub struct Holders {
     own_zone: String,
     zones: Vec<String>,
-    lease_ms: u64,
     siblings: BTreeMap<String, Sibling>,
 }
 
@@ -87,13 +86,19 @@
         Self {
             own_zone: own_zone.to_owned(),
             zones: zones.to_vec(),
-            lease_ms,
             siblings: siblings.iter().map(known).collect(),
         }
     }
 
     /// A controller asks for its block. `None`: it is not one of the siblings.
-    pub fn renew(&mut self, term: u64, renewal: &Renewal, now: u64) -> Option<BlockLease> {
+    /// The lease is `lease_ms` long, at most what this was made with.
+    pub fn renew(
+        &mut self,
+        term: u64,
+        renewal: &Renewal,
+        lease_ms: u64,
+        now: u64,
+    ) -> Option<BlockLease> {
         let zone = self.siblings.get(&renewal.label)?.zone.clone();
         // One holder for a block at a time, and the leader's own zone is the leader's.
         let other = self.siblings.iter().any(|(label, s)| {
@@ -121,10 +126,10 @@
             sibling.until = 0;
         }
         sibling.clear_until = sibling.clear_until.max(stamp);
-        if zone != self.own_zone && !other && self.zones.contains(&zone) {
-            lease.lease_ms = self.lease_ms;
+        if lease_ms > 0 && zone != self.own_zone && !other && self.zones.contains(&zone) {
+            lease.lease_ms = lease_ms;
             lease.zones.push(zone);
-            sibling.until = sibling.until.max(now + self.lease_ms + drift(self.lease_ms));
+            sibling.until = sibling.until.max(now + lease_ms + drift(lease_ms));
         }
         Some(lease)
     }
@@ -288,7 +293,7 @@
 
     /// A renewal and its answer, without delay.
     fn exchange(holders: &mut Holders, holding: &mut Holding, now: u64) {
-        let lease = holders.renew(5, &holding.renewal(now), now).unwrap();
+        let lease = holders.renew(5, &holding.renewal(now), LEASE, now).unwrap();
         holding.leased(lease, now, now);
     }
 
@@ -363,21 +368,21 @@
         assert!(holding.keep(&report("b", 5), 20_000).is_some());
         // Copies from before, long after: neither ends the lease nor vouches for the time since.
         for copy in [&first, &late] {
-            holders.renew(5, copy, 30_000);
+            holders.renew(5, copy, LEASE, 30_000);
             assert!(!holders.lease_over("b", 1_000, WORKER, 1_000 + WORKER + 5_000));
         }
         // So does a copy of a process that is gone, once a new one has echoed a stamp.
         let gone = holding.renewal(21_000);
         // A new process: the earlier one may have answered until this one began.
         let mut next = Holding::new("one", 2, 8_000);
-        let hello = holders.renew(5, &next.renewal(1_000), 36_000).unwrap();
+        let hello = holders.renew(5, &next.renewal(1_000), LEASE, 36_000).unwrap();
         assert_eq!(hello.lease_ms, 0, "no lease before it has echoed a stamp");
         next.leased(hello, 1_000, 1_000);
-        holders.renew(5, &next.renewal(2_000), 37_000);
+        holders.renew(5, &next.renewal(2_000), LEASE, 37_000);
         assert!(!holders.lease_over("b", 1_000, WORKER, 37_000 + WORKER - 5_000));
-        let lease = holders.renew(5, &next.renewal(2_500), 38_000).unwrap();
+        let lease = holders.renew(5, &next.renewal(2_500), LEASE, 38_000).unwrap();
         next.leased(lease, 2_500, 2_500);
-        holders.renew(5, &gone, 39_000);
+        holders.renew(5, &gone, LEASE, 39_000);
         assert!(next.keep(&report("b", 5), 30_000).is_some());
         assert!(
             !holders.lease_over("b", 1_000, WORKER, 38_000 + LEASE),
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -224,7 +224,7 @@
             &setup.domain,
             &setup.siblings,
             &setup.params.zones,
-            setup.operator.block_lease_ms,
+            block_lease_ms(&setup),
             at.now,
         );
         let mut ledger = Self {
@@ -411,7 +411,18 @@
 
     /// Another controller asks for its block.
     pub fn renew_block(&mut self, renewal: &Renewal, now: u64) -> Option<BlockLease> {
-        self.holders.renew(self.term, renewal, now)
+        let lease = self.block_lease(now);
+        self.holders.renew(self.term, renewal, lease, now)
+    }
+
+    /// How long blocks are leased at this moment, ms. Tasks of a withdrawn job must be gone within the
+    /// time for a cancellation, also where nobody can stop them and a holder keeps their worker alive. So
+    /// no lease is given while such a task, or one of an unknown job, may be anywhere: all leases were
+    /// given before its user was told, and end early enough for its worker's lease to follow.
+    pub fn block_lease(&self, now: u64) -> u64 {
+        let withdrawn = |j: &Job| j.ending == Some(JobState::Withdrawn) && j.held > 0;
+        let gone = self.strangers == 0 && !self.jobs.values().any(withdrawn);
+        if gone && self.settled(now) { block_lease_ms(&self.setup) } else { 0 }
     }
 
     /// Zones whose block this leader holds itself.
@@ -666,6 +677,14 @@
     }
 }
 
+/// Length of a block's lease, ms: what the operators say, and so short that it and a worker's lease end
+/// within the time for a cancellation.
+pub fn block_lease_ms(setup: &Setup) -> u64 {
+    let workers = &setup.params.workers;
+    let most = (workers.cancel_s - workers.lease_s) * 1000.0 - constants::CANCEL_MARGIN_MS;
+    setup.operator.block_lease_ms.min(most.max(0.0) as u64)
+}
+
 /// A worker's lease with drift and margin, ms: this long after the last moment when anyone entitled
 /// could have answered it, it has killed its tasks.
 pub fn lease_over_ms(params: &Params) -> u64 {
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -414,8 +414,10 @@
             term.paused = false;
             ledger.resumed(now);
         }
-        let lease_ms = self.setup.operator.block_lease_ms;
-        self.holding.borrow_mut().lead(term.mandate.term, ledger.own_block(), lease_ms, now);
+        let lease_ms = ledger.block_lease(now);
+        if lease_ms > 0 {
+            self.holding.borrow_mut().lead(term.mandate.term, ledger.own_block(), lease_ms, now);
+        }
         ledger.tell_time(self.clock.moment());
         if ledger.deserted(now)
             && self.deserted_at.get().is_none_or(|at| now >= at + constants::DESERTED_AGAIN_MS)
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1328,3 +1328,21 @@
     assert_eq!(workers[5].live().len(), 1, "the sixth is no longer than the others were");
     assert_eq!(workers.iter().map(|w| w.started.len()).sum::<usize>(), 6);
 }
+
+#[test]
+fn no_block_is_leased_while_a_withdrawn_task_may_be_anywhere() {
+    let (mut play, mut workers) = busy_zone(3);
+    let params = setup().params.workers;
+    let full = ((params.cancel_s - params.lease_s) * 1000.0) as u64;
+    let lease = play.ledger.block_lease(play.now);
+    assert!(lease > 0 && lease < full, "a worker's lease after it must end in time as well");
+    play.ledger.withdraw(&JobId::parse("req-000001").expect("an id"));
+    assert_eq!(play.ledger.block_lease(play.now), 0, "before its user is told");
+    play.flush();
+    assert_eq!(play.ledger.block_lease(play.now), 0);
+    play.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    assert_eq!(play.ledger.block_lease(play.now), lease, "the tasks are gone");
+    // The next leader does not know of withdrawn jobs until it has heard all machines.
+    let next = Play::lead(play.store.clone(), 2, play.now + 1_000);
+    assert_eq!(next.ledger.block_lease(next.now), 0);
+}
