--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -105,6 +105,16 @@
     tokio::spawn(peers::serve(peer_listener, desk.clone()));
     let holder = desk.clone();
     tokio::spawn(async move { holder.hold_block().await });
+    for t in &settings.settings.teams {
+        tracing::info!(
+            "team {}: {} CPUs and {} GPUs guaranteed, at most {} and {} (0: none)",
+            t.name,
+            t.cpus,
+            t.gpus,
+            t.cpus_max,
+            t.gpus_max
+        );
+    }
     for o in &settings.settings.objectives {
         let class = o.class.as_deref().unwrap_or("-");
         tracing::debug!("aim: {} of {class} within {:?} s", o.kind, o.within_s);
