--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -187,8 +187,18 @@
 pub const DEAF_ANSWERS: u32 = 3;
 /// A machine that has refused a start for lack of room takes no new task for this long, ms.
 pub const NO_ROOM_PAUSE_MS: u64 = 3_000;
-/// Errors of distinct jobs in a row after which a machine counts as faulty.
-pub const FAULTY_AFTER_ERRORS: u32 = 2;
+/// Blame from which a machine counts as faulty: each job that failed there since a task completed there
+/// counts 1 if it runs elsewhere.
+pub const FAULTY_BLAME: f64 = 2.0;
+/// What a job counts that has failed on this machine alone and run nowhere yet.
+pub const UNPROVEN_BLAME: f64 = 0.5;
+/// Machines that a job remembers to have failed on. Enough to tell that they are many.
+pub const FAILED_ON_KEPT: usize = 16;
+/// Tries in a row that a gang may fail before it counts as failing everywhere: it needs many machines,
+/// and meets a faulty one the sooner.
+pub const GANG_TRIES: u32 = 3;
+/// Tries in a row that a job of which tasks have completed may fail before it pauses.
+pub const PROVEN_ERRORS: u32 = 3;
 /// Finished tasks of a job whose mean time tells whether a machine is slow.
 pub const SOLID_MEAN_TASKS: u32 = 4;
 /// A task that took this many times the mean of its job was slow. Tasks of one job differ by half.
@@ -201,7 +211,7 @@
 /// First pause after a job's task ended with an error, ms; doubled for each further one.
 pub const ERROR_PAUSE_MS: u64 = 1_000;
 /// Longest such pause, ms.
-pub const ERROR_PAUSE_MAX_MS: u64 = 30_000;
+pub const ERROR_PAUSE_MAX_MS: u64 = 45_000;
 /// Stops of one machine's work for a job of higher rank wait this long for machines to free up by
 /// themselves, ms.
 pub const PREEMPT_AFTER_MS: u64 = 200;
--- /dev/null
+++ b/crates/controller/src/ledger/blame.rs
@@ -0,0 +1,97 @@
+//! Whose fault an error is.
+//!
+//! One job that fails on many machines is the job's fault, many jobs that fail on one machine are the
+//! machine's. A job with a mistake is tried again with growing pauses, one task at a time, and neither
+//! condemns machines nor takes anything from jobs that work; one that met a faulty machine goes on
+//! elsewhere at once.
+
+use super::{Host, Job, Ledger};
+use hookway_constants as constants;
+
+impl Job {
+    /// It failed, and nothing speaks for it: no task has completed, and not more of them run than there
+    /// are machines that it failed on.
+    pub fn doubtful(&self) -> bool {
+        let tries = if self.spec.is_gang() { constants::GANG_TRIES } else { 1 };
+        self.errors >= tries && self.unproven()
+    }
+
+    /// Nothing shows that it can run at all.
+    fn unproven(&self) -> bool {
+        self.done == 0 && self.running as usize <= self.failed_on.len()
+    }
+
+    /// How much an error of this job says against the machine that it happened on.
+    fn weight(&self) -> f64 {
+        if !self.unproven() {
+            return 1.0;
+        }
+        // On one machine only, so far: it may be either's fault.
+        if self.failed_on.len() == 1 { constants::UNPROVEN_BLAME } else { 0.0 }
+    }
+
+    /// Machines that it should not be tried on again, out of so many: the last ones that it failed on, and
+    /// never so many that too few are left.
+    pub fn shuns(&self, name: &str, machines: usize) -> bool {
+        let most = machines / 2;
+        self.failed_on.iter().rev().take(most).any(|host| host == name)
+    }
+
+    /// A task of it, placed at `since`, has failed on a machine. Errors of tasks that were placed before the
+    /// last error count with that one: they are one try.
+    fn failed(&mut self, host: &str, since: u64, now: u64) {
+        if !self.failed_on.iter().any(|h| h == host) {
+            if self.failed_on.len() >= constants::FAILED_ON_KEPT {
+                self.failed_on.pop_front();
+            }
+            self.failed_on.push_back(host.to_owned());
+        }
+        if self.errors > 0 && since <= self.failed_at {
+            return;
+        }
+        self.failed_at = now;
+        self.errors += 1;
+        if self.done > 0 && self.errors < constants::PROVEN_ERRORS {
+            return;
+        }
+        let pause = constants::ERROR_PAUSE_MS << (self.errors - 1).min(10);
+        let pause = pause.min(constants::ERROR_PAUSE_MAX_MS);
+        // Jobs that were submitted together with the same mistake shall not all come back together.
+        let spread = |sum: u64, byte: u8| sum.wrapping_mul(31).wrapping_add(u64::from(byte));
+        let spread = self.id.as_str().bytes().fold(u64::from(self.errors), spread);
+        let jitter = pause / 4 * (spread % 100) / 100;
+        self.pause_until = now + pause + jitter;
+        if self.doubtful() {
+            self.note(format!(
+                "failed on {} machines and ran on none; next try in {} s",
+                self.failed_on.len(),
+                (pause + jitter) / 1000
+            ));
+        }
+    }
+}
+
+impl Ledger {
+    /// A task of job `key`, placed at `since`, has failed on a machine.
+    pub(super) fn blame(&mut self, name: &str, key: u64, since: u64, now: u64) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.failed(name, since, now);
+        let proven = job.weight() >= 1.0;
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if !host.failed.contains(&key) {
+            host.failed.push(key);
+        }
+        if proven {
+            host.pause_until = host.pause_until.max(now + constants::NO_ROOM_PAUSE_MS);
+        }
+        let blamed = |host: &Host| -> f64 {
+            host.failed.iter().filter_map(|k| self.jobs.get(k)).map(Job::weight).sum()
+        };
+        let faulty = self.hosts.get(name).is_some_and(|h| blamed(h) >= constants::FAULTY_BLAME);
+        let Some(host) = self.hosts.get_mut(name).filter(|h| faulty && h.closing.is_none()) else {
+            return;
+        };
+        tracing::info!("machine {name}: faulty, to be returned");
+        host.closing = Some("faulty");
+    }
+}
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -494,8 +494,7 @@
             let mean = self.jobs.get(&key).and_then(Job::solid_mean);
             self.complete(key, held.index, took);
             if let Some(host) = self.hosts.get_mut(name) {
-                host.errors = 0;
-                host.last_error = None;
+                host.failed.clear();
                 if let (Some(took), Some(mean)) = (took, mean) {
                     let slow = took as f64 > mean * constants::SLOW_TASK_RATIO;
                     host.slow = if slow { host.slow + 1 } else { 0 };
@@ -513,23 +512,7 @@
         }
         let Some(host) = self.hosts.get_mut(name) else { return };
         match cause {
-            Cause::Error => {
-                job.errors += 1;
-                let pause = constants::ERROR_PAUSE_MS << (job.errors - 1).min(10);
-                job.pause_until = now + pause.min(constants::ERROR_PAUSE_MAX_MS);
-                // A job with a mistake fails everywhere; a faulty machine fails every job. So only
-                // errors of different jobs in a row speak against the machine.
-                if host.last_error != Some(key) {
-                    host.errors += 1;
-                    host.last_error = Some(key);
-                }
-                if host.errors >= constants::FAULTY_AFTER_ERRORS {
-                    tracing::info!("machine {name}: faulty, to be returned");
-                    host.closing = Some("faulty");
-                } else {
-                    host.pause_until = now + constants::NO_ROOM_PAUSE_MS;
-                }
-            }
+            Cause::Error => self.blame(name, key, held.since, now),
             Cause::NoRoom | Cause::Busy => {
                 host.pause_until = now + constants::NO_ROOM_PAUSE_MS;
             }
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -77,6 +77,7 @@
                     open: false,
                     booting: true,
                     kept_for: None,
+                    shunned_by: vec![],
                     held: vec![],
                 });
             }
@@ -162,7 +163,7 @@
             let tasks: u32 = self
                 .jobs
                 .values()
-                .filter(|j| j.live() && j.spec.lane == *name)
+                .filter(|j| j.live() && !j.doubtful() && j.spec.lane == *name)
                 .map(super::Job::unfinished)
                 .sum();
             let per_host = self
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 //! No I/O and no clock: the caller says what happened and when (milliseconds on its steady clock),
 //! and carries out what comes back.
 
+mod blame;
 mod checkin;
 mod commit;
 mod fleet;
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -126,8 +126,12 @@
     pub over: Option<FinalRecord>,
     /// No start before this time, ms.
     pub pause_until: u64,
-    /// Errors in a row.
+    /// Tries in a row that ended with an error.
     pub errors: u32,
+    /// When the last of those did, ms.
+    pub failed_at: u64,
+    /// Machines that tasks of it failed on, the last ones.
+    pub failed_on: VecDeque<String>,
     /// Tasks that were given up once for running far longer than others.
     pub given_up: BTreeSet<u32>,
     /// Why attempts ended.
@@ -193,6 +197,8 @@
             over: None,
             pause_until: 0,
             errors: 0,
+            failed_at: 0,
+            failed_on: VecDeque::new(),
             given_up: BTreeSet::new(),
             notes: VecDeque::new(),
             waiting_since: at.now,
@@ -402,12 +408,10 @@
     pub notice: Option<u64>,
     /// Takes nothing new until then, ms.
     pub pause_until: u64,
-    /// Errors of different jobs in a row.
-    pub errors: u32,
+    /// Jobs that failed here since a task completed here.
+    pub failed: Vec<u64>,
     /// Tasks in a row that took far longer here than others of their job.
     pub slow: u32,
-    /// The job of the last error.
-    pub last_error: Option<u64>,
     /// To be emptied and returned, for this reason.
     pub closing: Option<&'static str>,
     /// Nothing on it since, ms.
@@ -445,9 +449,8 @@
             ended: Vec::new(),
             notice: None,
             pause_until: 0,
-            errors: 0,
+            failed: Vec::new(),
             slow: 0,
-            last_error: None,
             closing: None,
             idle_since: None,
             images: Vec::new(),
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -127,7 +127,8 @@
             let whole = job.held == 0 && job.free.len() as u32 == job.spec.pieces;
             return if whole { job.spec.pieces } else { 0 };
         }
-        job.free.len() as u32
+        let free = job.free.len() as u32;
+        if job.doubtful() { free.min(1).saturating_sub(job.held) } else { free }
     }
 
     fn view(&self, job: &Job, startable: u32) -> JobView {
@@ -165,6 +166,7 @@
             unfinished: job.unfinished(),
             running: job.held,
             startable,
+            doubtful: job.doubtful(),
             per_zone: job.per_zone.clone(),
             waiting_since: job.waiting_since as f64 / 1000.0,
         }
@@ -216,6 +218,12 @@
             images: host.images.iter().map(|(i, _)| *i).collect(),
             open,
             booting: !host.heard && !taken,
+            shunned_by: host
+                .failed
+                .iter()
+                .filter(|k| self.jobs.get(k).is_some_and(|j| j.shuns(name, self.hosts.len())))
+                .filter_map(|k| index.get(k).copied())
+                .collect(),
             kept_for: host.kept.map(|(k, _)| index.get(&k).copied().unwrap_or(usize::MAX)),
             held,
         })
@@ -259,6 +267,9 @@
         for with_image in [true, false] {
             for turn in &mut left {
                 let Some(job) = self.jobs.get(&turn.key) else { continue };
+                if job.shuns(name, self.hosts.len()) {
+                    continue;
+                }
                 let skipped = with_image && turn.leftover && !images.contains(&job.image);
                 if turn.tasks == 0 || skipped || !free.fits(&job.need) {
                     continue;
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -1346,3 +1346,84 @@
     let next = Play::lead(play.store.clone(), 2, play.now + 1_000);
     assert_eq!(next.ledger.block_lease(next.now), 0);
 }
+
+/// Incident of 2026-12-02: half of the machines of a site were returned as faulty, since each had failed two
+/// jobs that fail everywhere; and each try of such a job started all of its tasks, for whose gangs others
+/// were stopped.
+#[test]
+fn jobs_with_a_mistake_condemn_no_machine_and_are_tried_one_task_at_a_time() {
+    let mut play = Play::start();
+    let mut hosts: Vec<ScriptedWorker> = (1..=6).map(|n| small(&format!("m-{n}"), "a")).collect();
+    let mut ids = Vec::new();
+    for n in 1..=4 {
+        ids.push(play.submit(job(&format!("req-00000{n}"), "array", 3)));
+    }
+    let mut tries = Vec::new();
+    for _ in 0..120 {
+        for w in &mut hosts {
+            play.beat(w);
+            let running = w.live();
+            for piece in &running {
+                w.end(piece, Cause::Error);
+            }
+            tries.extend(running.into_iter().map(|_| play.now));
+        }
+        play.wait(500);
+    }
+    let returned = play.ledger.fleet_round(play.now);
+    let deleted = returned.iter().any(|a| matches!(a, FleetAction::Delete(_)));
+    assert!(!deleted, "many jobs failed on each machine, and each of them on many: {returned:?}");
+    let late = tries.iter().filter(|at| **at > 30_000).count();
+    assert!((1..=12).contains(&late), "{late} tries of four jobs in the second half minute");
+    let Lookup::Known(status) = play.ledger.status(&ids[0]) else { panic!("it is known") };
+    assert!(status.notes.iter().any(|n| n.contains("ran on none")), "{:?}", status.notes);
+}
+
+/// The other side: what failed once, on a faulty machine, goes on elsewhere at once, and the machine that
+/// fails jobs which run elsewhere is given back.
+#[test]
+fn a_faulty_machine_is_given_back_and_its_victims_go_on_elsewhere_at_once() {
+    let mut play = Play::start();
+    let (mut bad, mut good) = (small("m-1", "a"), small("m-2", "a"));
+    let mut more = small("m-3", "a");
+    for w in [&mut bad, &mut good, &mut more] {
+        play.beat(w);
+    }
+    for n in 1..=3 {
+        play.submit(job(&format!("req-00000{n}"), "array", 2));
+    }
+    let begun = play.now;
+    let mut done = 0;
+    for _ in 0..60 {
+        for w in [&mut good, &mut more] {
+            play.beat(w);
+            let running = w.live();
+            for piece in &running {
+                done += 1;
+                w.end(piece, Cause::Done);
+            }
+        }
+        play.beat(&mut bad);
+        let running = bad.live();
+        for piece in &running {
+            bad.end(piece, Cause::Error);
+        }
+        play.wait(500);
+        if done == 6 {
+            break;
+        }
+    }
+    assert_eq!(done, 6);
+    assert!(play.now - begun < 12_000, "{} ms", play.now - begun);
+    let mut gone = Vec::new();
+    for _ in 0..20 {
+        play.beat(&mut bad);
+        play.wait(500);
+        for action in play.ledger.fleet_round(play.now) {
+            if let FleetAction::Delete(names) = action {
+                gone.extend(names);
+            }
+        }
+    }
+    assert!(gone.contains(&"m-1".to_owned()), "{gone:?}");
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -49,7 +49,8 @@
         let rank = |h: &HostView| (h.booting, h.held.is_empty());
         rank(a).cmp(&rank(b)).then(a.cpu_price().total_cmp(&b.cpu_price()))
     });
-    let mut order: Vec<usize> = (0..world.jobs.len()).collect();
+    let mut order: Vec<usize> =
+        (0..world.jobs.len()).filter(|j| !world.jobs[*j].doubtful).collect();
     order.sort_by(|a, b| {
         let (a, b) = (&world.jobs[*a], &world.jobs[*b]);
         b.rank.cmp(&a.rank).then(a.submitted.total_cmp(&b.submitted))
@@ -122,6 +123,7 @@
 fn takes(world: &World, job: usize, host: &HostView) -> bool {
     (host.open || host.booting)
         && host.kept_for.is_none_or(|k| k == job)
+        && !host.shunned_by.contains(&job)
         && world.jobs[job].allows(host.flavor, host.yard, host.loaner)
 }
 
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -78,7 +78,8 @@
 pub fn turns(jobs: &[JobView], now: f64, capacity: f64) -> Vec<Turn> {
     let yields = deferred(jobs, now, capacity);
     let last = |i: usize| yields[i] || late(&jobs[i], now);
-    let open: Vec<usize> = (0..jobs.len()).filter(|i| jobs[*i].startable > 0).collect();
+    let (failing, open): (Vec<usize>, Vec<usize>) =
+        (0..jobs.len()).filter(|i| jobs[*i].startable > 0).partition(|i| jobs[*i].doubtful);
     let mut unseen: Vec<usize> = open.iter().copied().filter(|i| jobs[*i].unseen()).collect();
     unseen.sort_by(|a, b| who_starts_first(&jobs[*a], &jobs[*b], now));
     let mut seen: Vec<usize> = open.iter().copied().filter(|i| !jobs[*i].unseen()).collect();
@@ -99,7 +100,11 @@
     let mut aged: Vec<usize> = (0..jobs.len())
         .filter(|i| {
             let job = &jobs[*i];
-            !job.gang && !job.unseen() && last(*i) && now > job.submitted + constants::AGED_S
+            !job.gang
+                && !job.doubtful
+                && !job.unseen()
+                && last(*i)
+                && now > job.submitted + constants::AGED_S
         })
         .collect();
     aged.sort_by(|a, b| jobs[*a].submitted.total_cmp(&jobs[*b].submitted));
@@ -132,6 +137,10 @@
     for job in rest {
         list.push(Turn { job, tasks: jobs[job].startable, leftover: true });
     }
+    // What failed wherever it was tried keeps nothing from jobs that work.
+    for job in failing {
+        list.push(Turn { job, tasks: jobs[job].startable, leftover: false });
+    }
     list
 }
 
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -57,6 +57,7 @@
     host.open
         && !host.booting
         && host.kept_for.is_none_or(|k| k == job_ix)
+        && !host.shunned_by.contains(&job_ix)
         && job.allows(host.flavor, host.yard, host.loaner)
         && host.free.fits(&job.need)
         && job.zone_open(host.yard)
@@ -123,7 +124,7 @@
 fn better_cleared(world: &World, job_ix: usize, hosts: &[usize]) -> bool {
     let job = &world.jobs[job_ix];
     let fetch = hosts.iter().map(|h| fetch_time(world, job, &world.hosts[*h])).fold(0.0, f64::max);
-    if fetch <= 0.0 {
+    if fetch <= 0.0 || job.doubtful {
         return false;
     }
     // Machines are being cleared for it that all hold the image. Where some lack it, the gang waits for a
@@ -211,7 +212,7 @@
             placed.placements.push(Placement { job: turn.job, hosts });
             continue;
         }
-        if !job.gang || turn.leftover {
+        if !job.gang || turn.leftover || job.doubtful {
             continue;
         }
         // A gang needs all at once, so arrays that take each bit that comes free would keep it
@@ -250,6 +251,7 @@
             h.open
                 && !h.booting
                 && h.kept_for.is_none_or(|k| k == job_ix)
+                && !h.shunned_by.contains(&job_ix)
                 && job.allows(h.flavor, h.yard, h.loaner)
                 && h.total.fits(&job.need)
         })
@@ -335,6 +337,7 @@
             unfinished: pieces,
             running: 0,
             startable: pieces,
+            doubtful: false,
             per_zone: vec![0; 3],
             waiting_since: 0.0,
         }
@@ -399,6 +402,7 @@
             open: true,
             booting: false,
             kept_for: None,
+            shunned_by: vec![],
             held: vec![],
         }
     }
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -119,6 +119,7 @@
             // One batch of stops at a time: machines that are being cleared for it stay kept.
             let clearing = world.hosts.iter().any(|h| h.kept_for == Some(*i));
             job.startable > 0
+                && !job.doubtful
                 && (guaranteed || lowest.is_some_and(|rank| rank < job.rank))
                 && short
                 && !clearing
@@ -207,6 +208,7 @@
                 || !host.open
                 || host.booting
                 || host.kept_for.is_some_and(|k| k != job_ix)
+                || host.shunned_by.contains(&job_ix)
                 || zone.is_some_and(|z| z != host.yard)
                 || !job.allows(host.flavor, host.yard, host.loaner)
                 || !host.total.fits(&job.need)
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -52,6 +52,9 @@
     pub running: u32,
     /// Tasks that could be placed now.
     pub startable: u32,
+    /// It fails wherever it was tried: it is tried again with what is left, and nothing makes room for
+    /// it.
+    pub doubtful: bool,
     /// Tasks that hold a place, per zone.
     pub per_zone: Vec<u32>,
     /// Since when tasks of it have been waiting for room, s.
@@ -122,6 +125,8 @@
     pub open: bool,
     /// Still booting: counts for the fleet, not for placement.
     pub booting: bool,
+    /// Jobs that failed here and should not be tried here again.
+    pub shunned_by: Vec<usize>,
     /// Kept for this job.
     pub kept_for: Option<usize>,
     /// What is on it.
