--- a/crates/clients/src/budget.rs
+++ b/crates/clients/src/budget.rs
@@ -26,6 +26,21 @@
         if state.0 >= 0.0 { Duration::ZERO } else { Duration::from_secs_f64(-state.0 / self.rate) }
     }
 
+    /// Waits until `units` may be spent, if that is within `patience`; `false` if it is not.
+    pub async fn spend_within(&self, units: f64, patience: Duration) -> bool {
+        let wait = self.take(units);
+        if wait > patience {
+            if let Ok(mut state) = self.state.lock() {
+                state.0 += units;
+            }
+            return false;
+        }
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        true
+    }
+
     /// Waits until `units` may be spent.
     pub async fn spend(&self, units: f64) {
         let wait = self.take(units);
--- a/crates/clients/src/store.rs
+++ b/crates/clients/src/store.rs
@@ -50,12 +50,30 @@
 pub struct StoreClient {
     http: HttpClient,
     budget: Arc<Budget>,
+    patience: Option<Duration>,
 }
 
 impl StoreClient {
     /// A client for `address` that makes at most `rate` requests a second.
     pub fn new(address: &str, rate: f64) -> Self {
-        Self { http: HttpClient::new(address), budget: Arc::new(Budget::new(rate)) }
+        let budget = Arc::new(Budget::new(rate));
+        Self { http: HttpClient::new(address), budget, patience: None }
+    }
+
+    /// The same, but what would wait longer than this for its turn is not asked at all
+    /// ([`StoreError::TooMany`]).
+    pub fn patient_for(self, patience_ms: u64) -> Self {
+        Self { patience: Some(Duration::from_millis(patience_ms)), ..self }
+    }
+
+    /// Waits for this request's turn.
+    async fn turn(&self) -> Result<(), StoreError> {
+        match self.patience {
+            None => self.budget.spend(1.0).await,
+            Some(patience) if self.budget.spend_within(1.0, patience).await => {}
+            Some(_) => return Err(StoreError::TooMany),
+        }
+        Ok(())
     }
 
     async fn call(
@@ -92,7 +110,7 @@
 
     /// Reads a key.
     pub async fn get(&self, key: &str) -> Result<Option<KeyValue>, StoreError> {
-        self.budget.spend(1.0).await;
+        self.turn().await?;
         let path = format!("/keys/{}", utf8_percent_encode(key, ESCAPED));
         let (status, body) =
             self.call(Method::GET, &path, None, constants::STORE_TIMEOUT_MS).await?;
@@ -109,7 +127,7 @@
         let mut all: Vec<KeyValue> = Vec::new();
         let mut first_epoch = None;
         loop {
-            self.budget.spend(1.0).await;
+            self.turn().await?;
             let mut path = format!("/keys?Prefix={}", utf8_percent_encode(prefix, ESCAPED));
             if let Some(last) = all.last() {
                 path.push_str(&format!("&After={}", utf8_percent_encode(&last.key, ESCAPED)));
@@ -132,7 +150,7 @@
 
     /// Commits a transaction.
     pub async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, StoreError> {
-        self.budget.spend(1.0).await;
+        self.turn().await?;
         let body = serde_json::to_vec(transaction)
             .map_err(|e| StoreError::Unexpected(0, e.to_string()))?;
         let (status, body) =
@@ -155,7 +173,7 @@
 
     /// Asks for a lease.
     pub async fn grant(&self, ttl_ms: u64) -> Result<u64, StoreError> {
-        self.budget.spend(1.0).await;
+        self.turn().await?;
         let body = serde_json::to_vec(&GrantRequest { ttl_ms })
             .map_err(|e| StoreError::Unexpected(0, e.to_string()))?;
         let (status, body) =
@@ -195,7 +213,7 @@
         after: u64,
         wait_ms: u64,
     ) -> Result<WatchAnswer, StoreError> {
-        self.budget.spend(1.0).await;
+        self.turn().await?;
         let path = format!(
             "/watch?Prefix={}&After={after}&WaitMs={wait_ms}",
             utf8_percent_encode(prefix, ESCAPED)
--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -48,8 +48,17 @@
 /// Share of the store's request rate that one node's ledger allows itself; only the leader's has any use
 /// for it.
 pub const NODE_REQUEST_SHARE: f64 = 0.3;
-/// The same for what users ask of a node.
-pub const DESK_REQUEST_SHARE: f64 = 0.2;
+/// The same for what users submit and withdraw at a node. All of it may come to one node while others are
+/// down.
+pub const DESK_REQUEST_SHARE: f64 = 0.25;
+/// How long a submission waits for its turn at the state service, ms: past that its user is told at once
+/// when to come back.
+pub const DESK_PATIENCE_MS: u64 = 300;
+/// The same share for questions, while no leader answers them. What is beyond it is asked again in a few
+/// seconds anyway.
+pub const POLL_REQUEST_SHARE: f64 = 0.12;
+/// A controller that did not answer is not waited for again for this long, ms; then one question tries.
+pub const PEER_SILENT_MS: u64 = 1_000;
 /// The same for the leadership, which must not wait behind the rest.
 pub const LEADERSHIP_REQUEST_SHARE: f64 = 0.1;
 /// Bytes that a machine takes in a roster record with the hints about it, bytes: name, time, and up
@@ -265,6 +274,9 @@
 pub const PEER_IDLE: usize = 4;
 /// What `Retry-After` says, s.
 pub const RETRY_AFTER_S: u32 = 1;
+/// What it says to a question about a job, s: sooner than the user would ask again, and after most changes
+/// of leader.
+pub const POLL_AGAIN_S: u32 = 3;
 /// Share of the socket limit that connections from outside may hold. The rest stays for the state
 /// service, the cloud, the other controllers and workers that are sent to.
 pub const DOOR_SOCKET_SHARE: f64 = 0.85;
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -84,11 +84,40 @@
     Later(String),
 }
 
-/// Final states that this node has learnt, oldest first out.
+/// Final states that this node has learnt, oldest first out. They can't change any more.
 #[derive(Debug, Default)]
-struct Finals {
-    states: HashMap<JobId, Told>,
-    order: VecDeque<JobId>,
+pub struct Finals(Mutex<(HashMap<JobId, Told>, VecDeque<JobId>)>);
+
+impl Finals {
+    fn get(&self, id: &JobId) -> Option<Told> {
+        self.0.lock().ok()?.0.get(id).cloned()
+    }
+
+    /// Remembers a state if it is final.
+    pub fn remember(&self, told: &Told) {
+        if !told.state.is_final() {
+            return;
+        }
+        let Ok(mut finals) = self.0.lock() else { return };
+        let (states, order) = &mut *finals;
+        if states.insert(told.id.clone(), told.clone()).is_none() {
+            order.push_back(told.id.clone());
+            if order.len() > constants::FINAL_CACHE
+                && let Some(old) = order.pop_front()
+            {
+                states.remove(&old);
+            }
+        }
+    }
+}
+
+/// How a desk asks the state service.
+#[derive(Debug, Clone)]
+pub struct Stores {
+    /// For submissions and withdrawals.
+    pub submissions: StoreClient,
+    /// For questions, which must not keep submissions waiting.
+    pub questions: StoreClient,
 }
 
 /// Decides the answers to users.
@@ -98,7 +127,7 @@
     /// This node's name.
     pub label: String,
     /// The state service.
-    pub store: StoreClient,
+    pub stores: Stores,
     /// The other controllers.
     pub peers: Peers,
     /// The node's actor.
@@ -107,8 +136,10 @@
     pub view: watch::Receiver<View>,
     /// Machine types, once known.
     pub flavors: watch::Receiver<Option<Arc<Vec<Flavor>>>>,
-    finals: Mutex<Finals>,
+    /// Shared with the node's actor, which tells what it decided as leader.
+    pub finals: Arc<Finals>,
     limiter: Limiter,
+    poll_limiter: Limiter,
 }
 
 /// What the state service says of a job.
@@ -127,7 +158,7 @@
     pub fn new(
         params: Params,
         label: String,
-        store: StoreClient,
+        stores: Stores,
         peers: Peers,
         node: mpsc::Sender<Ask>,
         view: watch::Receiver<View>,
@@ -135,33 +166,13 @@
     ) -> Self {
         let most = params.machine_limits.max_sockets as f64 * constants::IN_PROGRESS_SOCKET_SHARE;
         let limiter = Limiter::new(most as usize);
-        let finals = Mutex::default();
-        Self { params, label, store, peers, node, view, flavors, finals, limiter }
-    }
-
-    fn final_state(&self, id: &JobId) -> Option<Told> {
-        self.finals.lock().ok()?.states.get(id).cloned()
-    }
-
-    /// Remembers a final state; it can't change any more.
-    fn remember(&self, told: &Told) {
-        if !told.state.is_final() {
-            return;
-        }
-        if let Ok(mut finals) = self.finals.lock()
-            && finals.states.insert(told.id.clone(), told.clone()).is_none()
-        {
-            finals.order.push_back(told.id.clone());
-            if finals.order.len() > constants::FINAL_CACHE
-                && let Some(old) = finals.order.pop_front()
-            {
-                finals.states.remove(&old);
-            }
-        }
+        let poll_limiter = Limiter::new(most as usize);
+        let finals = Arc::default();
+        Self { params, label, stores, peers, node, view, flavors, finals, limiter, poll_limiter }
     }
 
     fn known(&self, told: Told) -> Verdict {
-        self.remember(&told);
+        self.finals.remember(&told);
         Verdict::Known(told)
     }
 
@@ -185,7 +196,7 @@
             Ok(Verdict::Later(_)) => None,
             Ok(verdict) => {
                 if let Verdict::Known(told) = &verdict {
-                    self.remember(told);
+                    self.finals.remember(told);
                 }
                 Some(verdict)
             }
@@ -196,14 +207,16 @@
         }
     }
 
-    /// Reads a job in the state service. The job's record is read first: it goes in the same
-    /// transaction in which the final state comes, so a job that was accepted is seen in one or
-    /// the other.
-    async fn stored(&self, id: &JobId) -> Result<Stored, StoreError> {
-        if let Some(kv) = self.store.get(&job_key(id)).await? {
+    /// Reads a job in the state service. The job's record is read before it is said that there is none: it
+    /// goes in the same transaction in which the final state comes, so a job that was accepted is seen in
+    /// one or the other. Once the first reading had its turn, the second one waits for its own: half an
+    /// answer would have been asked for in vain.
+    async fn stored(store: &StoreClient, id: &JobId) -> Result<Stored, StoreError> {
+        if let Some(kv) = store.get(&job_key(id)).await? {
             return Ok(Stored::Open(kv.key, kv.v));
         }
-        let Some(kv) = self.store.get(&final_key(id)).await? else { return Ok(Stored::Nothing) };
+        let store = store.clone().patient_for(constants::STATUS_LIMIT_MS);
+        let Some(kv) = store.get(&final_key(id)).await? else { return Ok(Stored::Nothing) };
         let record: FinalRecord =
             serde_json::from_value(kv.v).map_err(|e| StoreError::Unexpected(200, e.to_string()))?;
         Ok(Stored::Over(record.status(id).into()))
@@ -225,7 +238,7 @@
     /// A job's state. A state that can still change comes from the leader or from a fresh reading
     /// of the state service; a final one may come from memory.
     pub async fn status(&self, id: &JobId, from_peer: bool) -> Verdict {
-        if let Some(told) = self.final_state(id) {
+        if let Some(told) = self.finals.get(id) {
             return Verdict::Known(told);
         }
         let term = self.term();
@@ -242,7 +255,7 @@
             }
             _ => {}
         }
-        match self.stored(id).await {
+        match Self::stored(&self.stores.questions, id).await {
             Ok(Stored::Over(told)) => self.known(told),
             Ok(Stored::Open(key, value)) => {
                 let told = self.queued(id, &value);
@@ -259,7 +272,7 @@
     /// Withdraws a job. The leader decides; without one, the state service does, on the condition
     /// that nobody leads.
     pub async fn withdraw(&self, id: &JobId, from_peer: bool) -> Verdict {
-        if let Some(told) = self.final_state(id) {
+        if let Some(told) = self.finals.get(id) {
             return Verdict::Known(told);
         }
         for _ in 0..2 {
@@ -267,7 +280,8 @@
             match self.ask(|r| Ask::Withdraw(id.clone(), r)).await {
                 Some(Withdrawal::Over(status)) => return self.known(status.into()),
                 Some(Withdrawal::Pending) => return later("the decision is not durable yet"),
-                Some(Withdrawal::NotHere) => match self.stored(id).await {
+                Some(Withdrawal::NotHere) => match Self::stored(&self.stores.submissions, id).await
+                {
                     Ok(Stored::Over(told)) => return self.known(told),
                     Ok(Stored::Nothing) => return Verdict::Absent,
                     Ok(Stored::Open(key, value)) => {
@@ -287,7 +301,7 @@
     }
 
     async fn withdraw_without_leader(&self, id: &JobId) -> Verdict {
-        let value = match self.stored(id).await {
+        let value = match Self::stored(&self.stores.submissions, id).await {
             Ok(Stored::Over(told)) => return self.known(told),
             Ok(Stored::Nothing) => return Verdict::Absent,
             Ok(Stored::Open(_, value)) => value,
@@ -303,7 +317,7 @@
             ],
             apply: vec![Change::put(final_key(id), v), Change::delete(job_key(id))],
         };
-        match self.store.commit(&transaction).await {
+        match self.stores.submissions.commit(&transaction).await {
             Ok(CommitOutcome::Applied(_)) => self.known(record.status(id).into()),
             Ok(CommitOutcome::Refused(_)) => later("the job's leader can't be reached"),
             Err(e) => Verdict::Later(e.to_string()),
@@ -339,7 +353,7 @@
             }
         };
         let id = spec.name_id.clone();
-        if let Some(told) = self.final_state(&id) {
+        if let Some(told) = self.finals.get(&id) {
             return Verdict::Known(told);
         }
         match self.runnable(&spec) {
@@ -347,7 +361,7 @@
             Some(Ok(())) => {}
             Some(Err(why)) => {
                 // What was accepted once is never refused later.
-                return match self.stored(&id).await {
+                return match Self::stored(&self.stores.submissions, &id).await {
                     Ok(Stored::Nothing) => Verdict::Refused(422, why),
                     Ok(_) => self.status(&id, from_peer).await,
                     Err(e) => Verdict::Later(e.to_string()),
@@ -367,20 +381,25 @@
             ],
             apply: vec![Change::put(job_key(&id), value.clone())],
         };
-        match self.store.commit(&transaction).await {
+        match self.stores.submissions.commit(&transaction).await {
             Ok(CommitOutcome::Applied(_)) => {
                 let told = Told { owner: Some(owner), ..self.queued(&id, &value) };
                 Verdict::Accepted(told)
             }
             Ok(CommitOutcome::Refused(_)) => self.status(&id, from_peer).await,
             // No answer: it may have been applied, or may be later. Read, never assume.
-            Err(StoreError::Unknown(_)) => match self.stored(&id).await {
-                Ok(Stored::Open(..)) => Verdict::Accepted(self.queued(&id, &value)),
-                Ok(Stored::Over(told)) => self.known(told),
-                Ok(Stored::Nothing) => later("the state service did not answer"),
-                Err(e) => Verdict::Later(e.to_string()),
-            },
-            Err(e) if from_peer => Verdict::Later(e.to_string()),
+            Err(StoreError::Unknown(_)) => {
+                match Self::stored(&self.stores.submissions, &id).await {
+                    Ok(Stored::Open(..)) => Verdict::Accepted(self.queued(&id, &value)),
+                    Ok(Stored::Over(told)) => self.known(told),
+                    Ok(Stored::Nothing) => later("the state service did not answer"),
+                    Err(e) => Verdict::Later(e.to_string()),
+                }
+            }
+            // The limits are everybody's: another controller would ask for the same.
+            Err(e) if from_peer || matches!(e, StoreError::TooMany) => {
+                Verdict::Later(e.to_string())
+            }
             Err(e) => self.submit_elsewhere(body, &e.to_string()).await,
         }
     }
@@ -445,12 +464,13 @@
     res.render(Json(ErrorBody { error: why.to_owned() }));
 }
 
-fn unavailable(res: &mut Response, why: &str) {
+fn unavailable(res: &mut Response, why: &str, back_s: u32) {
+    tracing::debug!("503: {why}");
     refuse(res, StatusCode::SERVICE_UNAVAILABLE, why);
-    res.headers_mut().insert("retry-after", HeaderValue::from(constants::RETRY_AFTER_S));
+    res.headers_mut().insert("retry-after", HeaderValue::from(back_s));
 }
 
-fn render(res: &mut Response, verdict: Verdict) {
+fn render(res: &mut Response, verdict: Verdict, back_s: u32) {
     match verdict {
         Verdict::Accepted(told) => {
             res.status_code(StatusCode::CREATED);
@@ -464,7 +484,7 @@
         Verdict::Refused(status, why) => {
             refuse(res, StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST), &why);
         }
-        Verdict::Later(why) => unavailable(res, &why),
+        Verdict::Later(why) => unavailable(res, &why, back_s),
     }
 }
 
@@ -482,8 +502,14 @@
 impl Handler for UserHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let Self(desk, kind) = self;
-        let Some(pass) = desk.limiter.enter() else {
-            return unavailable(res, "too many requests in progress");
+        // Many questions must not shut out submissions, nor one kind's slow answers lower the other's limit.
+        let back_s = match kind {
+            Kind::Status => constants::POLL_AGAIN_S,
+            Kind::Submit | Kind::Withdraw => constants::RETRY_AFTER_S,
+        };
+        let limiter = if *kind == Kind::Status { &desk.poll_limiter } else { &desk.limiter };
+        let Some(pass) = limiter.enter() else {
+            return unavailable(res, "too many requests in progress", back_s);
         };
         let begun = Instant::now();
         let limit = match kind {
@@ -509,9 +535,9 @@
         let verdict = tokio::time::timeout(Duration::from_millis(limit), work)
             .await
             .unwrap_or_else(|_| later("no decision in time"));
-        desk.limiter.measured(begun.elapsed());
+        limiter.measured(begun.elapsed());
         drop(pass);
-        render(res, verdict);
+        render(res, verdict, back_s);
     }
 }
 
@@ -540,7 +566,9 @@
                 res.status_code(StatusCode::MISDIRECTED_REQUEST);
                 res.render(Json(ReportElsewhere { foreman }));
             }
-            CheckInReply::Unsure => unavailable(res, "not entitled to answer"),
+            CheckInReply::Unsure => {
+                unavailable(res, "not entitled to answer", constants::RETRY_AFTER_S)
+            }
         }
     }
 }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,6 +1,7 @@
 //! The node's actor. It owns the ledger while the node leads, answers what is asked of it, and
 //! carries out what the ledger wants from the state service and the cloud.
 
+use crate::api::Finals;
 use crate::holders::{BlockLease, Holding, Renewal};
 use crate::lead::{Clock, Mandate, Validity, View};
 use crate::ledger::{
@@ -86,6 +87,8 @@
     pub asks: mpsc::Receiver<Ask>,
     /// When this node last stepped down for lack of reports, ms.
     pub deserted_at: std::cell::Cell<Option<u64>>,
+    /// Where users are told the ends of jobs from.
+    pub finals: Arc<Finals>,
     /// The block that this node holds.
     pub holding: std::cell::RefCell<Holding>,
 }
@@ -328,6 +331,9 @@
                 let Some(ledger) = &mut term.ledger else { return };
                 ledger.committed(commit, result, at.now);
                 for (id, record) in ledger.take_decided() {
+                    // The ledger forgets the job; its user asks a last time, and all of them at once after
+                    // a swarm of small jobs: without this each would take two readings of the store.
+                    self.finals.remember(&record.status(&id).into());
                     for reply in term.waiting.remove(&id).unwrap_or_default() {
                         let _ = reply.send(Some(Withdrawal::Over(record.status(&id))));
                     }
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 /// What one controller asks another. Answered from the other's own knowledge; never passed on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +43,9 @@
     /// No answer in time.
     #[error("no answer in time")]
     Timeout,
+    /// It did not answer a moment ago.
+    #[error("it does not answer at the moment")]
+    Silent,
     /// The connection failed.
     #[error("connection: {0}")]
     Io(#[from] std::io::Error),
@@ -86,12 +90,14 @@
 pub struct Peers {
     addresses: HashMap<String, String>,
     idle: Mutex<HashMap<String, Vec<TcpStream>>>,
+    /// Those that did not answer, with when that was or one was asked again.
+    silent: Mutex<HashMap<String, Instant>>,
 }
 
 impl Peers {
     /// By name and address.
     pub fn new(addresses: HashMap<String, String>) -> Self {
-        Self { addresses, idle: Mutex::default() }
+        Self { addresses, ..Self::default() }
     }
 
     /// The names of the others.
@@ -106,6 +112,9 @@
         ask: &PeerAsk,
         limit_ms: u64,
     ) -> Result<Verdict, PeerError> {
+        if !self.worth_asking(name) {
+            return Err(PeerError::Silent);
+        }
         match self.exchange(name, ask, limit_ms).await? {
             PeerAnswer::Verdict(verdict) => Ok(verdict),
             PeerAnswer::Block(_) => Err(PeerError::Message("not an answer to this".into())),
@@ -121,12 +130,41 @@
         }
     }
 
+    /// Whether a user should wait for this controller's answer. One that stands still or is cut off says
+    /// nothing, and each question to it would take its whole time limit; so only one in a while does. The
+    /// renewals of this node's block tell as well that it is back.
+    fn worth_asking(&self, name: &str) -> bool {
+        let Ok(mut silent) = self.silent.lock() else { return true };
+        let Some(since) = silent.get_mut(name) else { return true };
+        let again = since.elapsed() >= Duration::from_millis(constants::PEER_SILENT_MS);
+        if again {
+            *since = Instant::now();
+        }
+        again
+    }
+
     /// One exchange.
     async fn exchange(
         &self,
         name: &str,
         ask: &PeerAsk,
         limit_ms: u64,
+    ) -> Result<PeerAnswer, PeerError> {
+        let answer = self.attempt(name, ask, limit_ms).await;
+        if let Ok(mut silent) = self.silent.lock() {
+            match &answer {
+                Ok(_) => drop(silent.remove(name)),
+                Err(_) => drop(silent.insert(name.to_owned(), Instant::now())),
+            }
+        }
+        answer
+    }
+
+    async fn attempt(
+        &self,
+        name: &str,
+        ask: &PeerAsk,
+        limit_ms: u64,
     ) -> Result<PeerAnswer, PeerError> {
         let address = self.addresses.get(name).ok_or(PeerError::Unknown)?;
         let work = async {
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -1,6 +1,6 @@
 //! Puts a node together and runs it.
 
-use crate::api::{self, Desk};
+use crate::api::{self, Desk, Stores};
 use crate::config::{OperatorSettings, Settings};
 use crate::door::Door;
 use crate::holders::{Holding, patience_ms};
@@ -37,7 +37,10 @@
     let clock = Clock::default();
     let rps = params.state.rps;
     let client = |share: f64| StoreClient::new(&settings.outside.state, rps * share);
-    let store = client(constants::DESK_REQUEST_SHARE);
+    let stores = Stores {
+        submissions: client(constants::DESK_REQUEST_SHARE).patient_for(constants::DESK_PATIENCE_MS),
+        questions: client(constants::POLL_REQUEST_SHARE).patient_for(0),
+    };
     let cloud =
         CloudClient::new(&settings.outside.cloud, params.cloud.rps * constants::CLOUD_RATE_SHARE);
     let (view_tx, view) = watch::channel(View::default());
@@ -51,7 +54,7 @@
     let desk = Arc::new(Desk::new(
         params.clone(),
         label.clone(),
-        store.clone(),
+        stores,
         Peers::new(addresses),
         node_tx,
         view.clone(),
@@ -94,6 +97,7 @@
         doubt,
         flavors,
         asks,
+        finals: desk.finals.clone(),
         deserted_at: std::cell::Cell::new(None),
         holding: std::cell::RefCell::new(Holding::new(&label, rand::random(), patience)),
     };
--- a/crates/controller/tests/api.rs
+++ b/crates/controller/tests/api.rs
@@ -3,12 +3,12 @@
 #![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
 
 use hookway_clients::StoreClient;
-use hookway_controller::api::{Desk, service};
+use hookway_controller::api::{Desk, Stores, service};
 use hookway_controller::config::Settings;
 use hookway_controller::lead::View;
 use hookway_controller::ledger::{Lookup, Withdrawal};
 use hookway_controller::node::{Ask, CheckInReply};
-use hookway_controller::peers::Peers;
+use hookway_controller::peers::{PeerAsk, PeerError, Peers};
 use hookway_controller::records::job_key;
 use hookway_testkit::{SETTINGS, StoreServer};
 use hookway_wire::{CheckInAnswer, ErrorBody, Flavor, JobId, JobState, JobStatus};
@@ -49,6 +49,17 @@
 
 /// The same, with a view of who leads and a state service.
 fn api_at(node: Node, flavors_known: bool, seen: View, store: Option<&str>) -> Service {
+    service(desk(node, flavors_known, seen, store, 2000.0))
+}
+
+/// The desk itself; it asks the state service about jobs so many times a second.
+fn desk(
+    node: Node,
+    flavors_known: bool,
+    seen: View,
+    store: Option<&str>,
+    polls_rate: f64,
+) -> Arc<Desk> {
     let (tx, mut asks) = mpsc::channel(16);
     tokio::spawn(async move {
         while let Some(ask) = asks.recv().await {
@@ -96,11 +107,14 @@
     };
     let (_, view) = watch::channel(seen);
     let (_, flavors) = watch::channel(flavors_known.then(|| Arc::new(vec![flavor])));
-    let store = StoreClient::new(store.unwrap_or(&settings.outside.state), 2000.0);
+    let store_at = store.unwrap_or(&settings.outside.state);
+    let submissions = StoreClient::new(store_at, 2000.0);
     // Nobody listens there.
     let peers = Peers::new(HashMap::from([("worker-1".into(), "127.0.0.1:1".into())]));
-    let desk = Desk::new(settings.settings, settings.label, store, peers, tx, view, flavors);
-    service(Arc::new(desk))
+    let questions = StoreClient::new(store_at, polls_rate).patient_for(0);
+    let stores = Stores { submissions, questions };
+    let desk = Desk::new(settings.settings, settings.label, stores, peers, tx, view, flavors);
+    Arc::new(desk)
 }
 
 async fn post(service: &Service, path: &str, body: &str) -> (StatusCode, String, bool) {
@@ -236,3 +250,60 @@
     server.refuse(false);
     assert_eq!(get(&api, "/api/jobs/req-000007").await.0, StatusCode::OK);
 }
+
+/// A swarm's day of 2026-12-02: with a thousand jobs open and no leader for seconds, questions took all that a
+/// node may ask of the state service, submissions waited behind them for seconds and were turned away.
+#[tokio::test]
+async fn questions_that_the_store_has_no_turn_for_are_answered_at_once_and_hold_up_no_submission() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let spec: serde_json::Value = serde_json::from_str(JOB).expect("JSON");
+    let record = serde_json::json!({ "spec": spec, "at_ms": 0 });
+    let id = JobId::parse("req-000412").expect("an id");
+    server.with(|store| store.put(&job_key(&id), record));
+    // One reading, and then none for ten seconds.
+    let api = service(desk(Node::Follows, true, View::default(), Some(&address), 0.1));
+    assert_eq!(get(&api, "/api/jobs/req-000412").await.0, StatusCode::OK);
+    for _ in 0..50 {
+        let (status, text, retry) = get(&api, "/api/jobs/req-000412").await;
+        assert_eq!((status, retry), (StatusCode::SERVICE_UNAVAILABLE, true), "{text}");
+    }
+    let (status, text, _) = post(&api, "/api/jobs", &JOB.replace("000412", "000413")).await;
+    assert_eq!(status, StatusCode::CREATED, "{text}");
+    let (status, ..) = post(&api, "/api/jobs/req-000412/withdraw", "").await;
+    assert_eq!(status, StatusCode::OK, "nor a withdrawal");
+}
+
+/// The same day: after all controllers crashed, each finished job's last question took two readings of the
+/// store, half of them in vain, and thousands of answers failed for minutes.
+#[tokio::test]
+async fn what_the_leader_decided_is_told_without_the_store() {
+    let desk = desk(Node::Leads, true, View::default(), None, 0.1);
+    let id = JobId::parse("req-000009").expect("an id");
+    desk.finals.remember(&known(&id, JobState::Done).into());
+    desk.finals
+        .remember(&known(&JobId::parse("req-000010").expect("an id"), JobState::Running).into());
+    let api = service(desk);
+    let (status, text, _) = get(&api, "/api/jobs/req-000009").await;
+    let told: JobStatus = serde_json::from_str(&text).expect("a status");
+    assert_eq!((status, told.status), (StatusCode::OK, JobState::Done));
+    let (status, ..) = get(&api, "/api/jobs/req-000010").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "what can change is not told from memory");
+}
+
+/// A controller that stands still or is cut off says nothing. A user's question to each of its siblings must not
+/// take the whole time limit again and again.
+#[tokio::test(start_paused = true)]
+async fn a_silent_controller_is_waited_for_once_in_a_while_only() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let peers = Peers::new(HashMap::from([("worker-1".into(), address)]));
+    let ask = PeerAsk::Status("req-000001".into());
+    assert!(matches!(peers.ask("worker-1", &ask, 600).await, Err(PeerError::Timeout)));
+    for _ in 0..20 {
+        assert!(matches!(peers.ask("worker-1", &ask, 600).await, Err(PeerError::Silent)));
+    }
+    tokio::time::advance(std::time::Duration::from_millis(1_100)).await;
+    assert!(matches!(peers.ask("worker-1", &ask, 600).await, Err(PeerError::Timeout)), "one tries");
+    assert!(matches!(peers.ask("worker-1", &ask, 600).await, Err(PeerError::Silent)));
+}
