--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -221,6 +221,11 @@
 pub const ERROR_PAUSE_MS: u64 = 1_000;
 /// Longest such pause, ms.
 pub const ERROR_PAUSE_MAX_MS: u64 = 45_000;
+/// Backfill that can save has run for at least this long before it makes room for work with a deadline, s: it
+/// is not stopped and started over and over.
+pub const BACKFILL_TURN_S: f64 = 20.0;
+/// And for at least this many times what it takes to save.
+pub const BACKFILL_SAVES: f64 = 5.0;
 /// Stops of one machine's work for a job of higher rank wait this long for machines to free up by
 /// themselves, ms.
 pub const PREEMPT_AFTER_MS: u64 = 200;
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -19,7 +19,7 @@
 /// Whether the job is late already. Such a job's minimum is all its tasks for the rest of its life;
 /// after a burst, a few of them would make every later job late as well (the design page's second
 /// weak spot). So late jobs come after those that can still be in time.
-fn late(job: &JobView, now: f64) -> bool {
+pub(crate) fn late(job: &JobView, now: f64) -> bool {
     job.due.is_some_and(|due| now + constants::LATE_TASK_TIMES * job.task_time() > due)
 }
 
@@ -41,6 +41,13 @@
         .then(a.submitted.total_cmp(&b.submitted))
 }
 
+/// Tasks that should run at a time: the minimum, or what the owner's estimate says until a task has
+/// finished.
+pub(crate) fn least(job: &JobView, now: f64, due: f64) -> u32 {
+    let prior = || crate::minimum::over(job.task_time(), job.unfinished, due - now);
+    job.mean.map_or_else(prior, |_| minimum(job, now))
+}
+
 /// Jobs that can't all be in time: when the minimums together need more than `capacity` CPUs, those
 /// with the least work left are kept to, since most jobs are in time then, and the others yield like late
 /// ones. Earliest deadline first would make nearly all of them late one after the other.
@@ -54,10 +61,7 @@
             continue;
         }
         let Some(due) = job.due.filter(|_| !late(job, now)) else { continue };
-        let least = job.mean.map_or_else(
-            || crate::minimum::over(job.task_time(), job.unfinished, due - now),
-            |_| minimum(job, now),
-        );
+        let least = least(job, now, due);
         let work = f64::from(job.unfinished) * job.task_time() * job.need.cpus;
         rates.push((work, f64::from(least) * job.need.cpus, i));
     }
@@ -71,15 +75,23 @@
     yields
 }
 
+/// Nobody said when it should start or be complete: it takes what is left.
+pub(crate) fn unhurried(job: &JobView) -> bool {
+    !job.gang && !job.endless && job.due.is_none() && job.start_by.is_empty()
+}
+
 /// The order of the design, within each rank: jobs with nothing finished or running first, oldest
 /// first; then earliest deadline, each up to its minimum. What is left goes to the job with the least
 /// work left. Jobs that are late, or can't be in time together with the others on `capacity` CPUs, come
-/// last; but a part of the CPUs goes to those of them that have waited longest.
+/// last, and after them those without a deadline; but a part of the CPUs goes to those of them that have
+/// waited longest.
 pub fn turns(jobs: &[JobView], now: f64, capacity: f64) -> Vec<Turn> {
     let yields = deferred(jobs, now, capacity);
     let last = |i: usize| yields[i] || late(&jobs[i], now);
     let (failing, open): (Vec<usize>, Vec<usize>) =
         (0..jobs.len()).filter(|i| jobs[*i].startable > 0).partition(|i| jobs[*i].doubtful);
+    let (mut free, open): (Vec<usize>, Vec<usize>) =
+        open.into_iter().partition(|i| unhurried(&jobs[*i]));
     let mut unseen: Vec<usize> = open.iter().copied().filter(|i| jobs[*i].unseen()).collect();
     unseen.sort_by(|a, b| who_starts_first(&jobs[*a], &jobs[*b], now));
     let mut seen: Vec<usize> = open.iter().copied().filter(|i| !jobs[*i].unseen()).collect();
@@ -100,11 +112,8 @@
     let mut aged: Vec<usize> = (0..jobs.len())
         .filter(|i| {
             let job = &jobs[*i];
-            !job.gang
-                && !job.doubtful
-                && !job.unseen()
-                && last(*i)
-                && now > job.submitted + constants::AGED_S
+            let waits = unhurried(job) || !job.gang && !job.unseen() && last(*i);
+            waits && !job.doubtful && now > job.submitted + constants::AGED_S
         })
         .collect();
     aged.sort_by(|a, b| jobs[*a].submitted.total_cmp(&jobs[*b].submitted));
@@ -137,6 +146,17 @@
     for job in rest {
         list.push(Turn { job, tasks: jobs[job].startable, leftover: true });
     }
+    // Guests' backfill and the like: each begins in its turn, and then the oldest first.
+    free.sort_by(|a, b| {
+        let (a, b) = (&jobs[*a], &jobs[*b]);
+        b.rank.cmp(&a.rank).then(a.submitted.total_cmp(&b.submitted))
+    });
+    for job in free.iter().filter(|j| jobs[**j].unseen()) {
+        list.push(Turn { job: *job, tasks: 1, leftover: true });
+    }
+    for job in free {
+        list.push(Turn { job, tasks: jobs[job].startable, leftover: true });
+    }
     // What failed wherever it was tried keeps nothing from jobs that work.
     for job in failing {
         list.push(Turn { job, tasks: jobs[job].startable, leftover: false });
@@ -151,8 +171,9 @@
 
     #[test]
     fn unseen_first_then_deadlines_up_to_minimums_then_leftovers() {
-        let old = JobView { submitted: 1.0, ..job(1.0, 10) };
-        let new = JobView { submitted: 2.0, ..job(1.0, 10) };
+        let due = Some(1000.0);
+        let old = JobView { submitted: 1.0, due, ..job(1.0, 10) };
+        let new = JobView { submitted: 2.0, due, ..job(1.0, 10) };
         let started = |due: f64| JobView {
             finished: 2,
             unfinished: 8,
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -131,7 +131,7 @@
         crate::order::who_starts_first(a, b, world.now)
     });
     let mut taken: Vec<bool> = vec![false; world.hosts.len()];
-    let mut all = Vec::new();
+    let mut all = evict_for_deadlines(world);
     for job_ix in waiting {
         let job = &world.jobs[job_ix];
         let tasks = if job.gang { job.startable } else { 1 };
@@ -152,6 +152,77 @@
     all
 }
 
+/// Room for arrays that fall short of what their deadlines need, taken from backfill: work of lower rank
+/// that nobody is in a hurry for and that can save. What runs for minutes would keep a burst of short tasks
+/// waiting past its deadlines.
+fn evict_for_deadlines(world: &World) -> Vec<Eviction> {
+    let now = world.now;
+    let backfill = |held: &HeldView| {
+        let job = &world.jobs[held.job];
+        let ran = constants::BACKFILL_TURN_S.max(constants::BACKFILL_SAVES * job.save_time);
+        (crate::order::unhurried(job) && job.saves && held.elapsed >= ran).then_some(job.rank)
+    };
+    // What each machine will have free, and what could be stopped there.
+    let mut room: Vec<Room> = Vec::new();
+    let mut stops: Vec<Vec<&HeldView>> = Vec::new();
+    for host in &world.hosts {
+        let mut free = host.free;
+        let usable = host.open && !host.booting && host.kept_for.is_none();
+        for held in host.held.iter().filter(|h| h.leaving) {
+            free.give(&held.need);
+        }
+        room.push(free);
+        let held = host.held.iter().filter(|h| usable && !h.leaving && backfill(h).is_some());
+        stops.push(held.collect());
+    }
+    if stops.iter().all(Vec::is_empty) {
+        return Vec::new();
+    }
+    let mut waiting: Vec<(f64, usize)> = (0..world.jobs.len())
+        .filter_map(|i| Some((world.jobs[i].due?, i)))
+        .filter(|(_, i)| {
+            let job = &world.jobs[*i];
+            !job.gang && !job.doubtful && job.startable > 0 && !crate::order::late(job, now)
+        })
+        .collect();
+    waiting.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let mut all = Vec::new();
+    for (due, job_ix) in waiting {
+        let job = &world.jobs[job_ix];
+        let mut short =
+            crate::order::least(job, now, due).saturating_sub(job.running).min(job.startable);
+        let mut found = Eviction { job: job_ix, hosts: vec![], victims: vec![] };
+        let team = world.teams.get(job.team);
+        short = team.map_or(short, |t| short.min(t.allows(&job.need)));
+        // Machines that hold the image first.
+        for warm in [true, false] {
+            for (i, host) in world.hosts.iter().enumerate() {
+                let misses = !host.images.contains(&job.image);
+                let closed = misses == warm
+                    || !job.allows(host.flavor, host.yard, host.loaner)
+                    || !job.zone_open(host.yard)
+                    || host.shunned_by.contains(&job_ix);
+                while short > 0 && !closed {
+                    if room[i].fits(&job.need) {
+                        room[i].take(&job.need);
+                        short -= 1;
+                        continue;
+                    }
+                    let lower = |h: &&HeldView| world.jobs[h.job].rank < job.rank;
+                    let Some(at) = stops[i].iter().position(|h| lower(&h)) else { break };
+                    let held = stops[i].swap_remove(at);
+                    room[i].give(&held.need);
+                    found.victims.push((i, held.tag));
+                }
+            }
+        }
+        if !found.victims.is_empty() {
+            all.push(found);
+        }
+    }
+    all
+}
+
 /// The team's own work of lower rank whose end brings its use far enough below its limit.
 fn evict_for_quota(world: &World, job_ix: usize, tasks: u32) -> Option<Eviction> {
     let job = &world.jobs[job_ix];
@@ -300,4 +371,26 @@
         w.teams[0].guaranteed = (4.0, 0.0);
         assert_eq!(evict(&w), [], "work within its own guarantee stays");
     }
+
+    #[test]
+    fn backfill_that_has_had_its_turn_makes_room_for_arrays_with_a_deadline() {
+        let backfill = JobView { saves: true, save_time: 3.0, rank: Rank::Low, ..job(1.0, 8) };
+        let urgent = JobView { due: Some(20.0), guess: 10.0, ..job(1.0, 3) };
+        let victims = |w: &World| evict(w).iter().map(|e| e.victims.len()).sum::<usize>();
+        let mut w = world(vec![urgent, backfill], vec![full(1, 30.0)]);
+        assert_eq!(victims(&w), 2, "3 tasks of 10 s in 20 s: two at a time");
+        w.hosts[0].held[0].leaving = true;
+        assert_eq!(victims(&w), 1, "what is being stopped already counts");
+        w.jobs[0].running = 2;
+        assert_eq!(victims(&w), 0, "it has what it needs");
+        w.jobs[0].running = 0;
+        w.hosts = vec![full(1, 5.0)];
+        assert_eq!(victims(&w), 0, "stopped over and over it would get nowhere");
+        w.hosts = vec![full(1, 30.0)];
+        w.jobs[1].due = Some(500.0);
+        assert_eq!(victims(&w), 0, "somebody waits for it");
+        w.jobs[1].due = None;
+        w.jobs[1].rank = Rank::Normal;
+        assert_eq!(victims(&w), 0, "equal rank is left alone");
+    }
 }
