--- a/crates/clients/src/worker.rs
+++ b/crates/clients/src/worker.rs
@@ -46,6 +46,26 @@
         }
     }
 
+    /// Tells a worker a new leader's token and asks what is on its machine. The session is not known yet: the
+    /// first one, most likely; if not, the refusal names it.
+    pub async fn greet(&self, address: &str, baton: u64) -> Option<CheckIn> {
+        let mut tenure = 1;
+        for _ in 0..2 {
+            let hello = DirectOrders { baton, tenure, orders: vec![] };
+            let body = serde_json::to_vec(&hello).ok()?;
+            let limit = Duration::from_millis(constants::WORKER_TIMEOUT_MS);
+            let post = self.http.at(address);
+            let answer = post.exchange(Method::POST, "/orders", Some(body), limit).await.ok()?;
+            let report: CheckIn = serde_json::from_slice(&answer.1).ok()?;
+            match answer.0 {
+                StatusCode::OK => return Some(report),
+                StatusCode::CONFLICT if report.tenure != tenure => tenure = report.tenure,
+                _ => return None,
+            }
+        }
+        None
+    }
+
     /// Sends commands to the worker at `address`.
     pub async fn send(&self, address: &str, orders: &DirectOrders) -> Delivery {
         let Ok(body) = serde_json::to_vec(orders) else { return Delivery::NotSent };
--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -143,6 +143,19 @@
 pub const DESERTED_REPORTS: f64 = 3.0;
 /// The least time for that, ms.
 pub const DESERTED_LEAST_MS: u64 = 5_000;
+/// Machines at a time from which that is judged sooner: the fewer reports are to be expected, the longer a
+/// silence may be chance.
+pub const DESERTED_MACHINES: f64 = 20.0;
+/// The least time for that, ms. Above what a process stands still for, and above one lost packet sent again.
+pub const DESERTED_SOON_MS: u64 = 3_000;
+/// The leader's clockwork comes round each `TICK_MS`; after a gap this long it stood still itself, and
+/// silence meanwhile proves nothing, ms.
+pub const STOOD_STILL_MS: u64 = 1_000;
+/// Workers that a new leader asks at a time what is on their machines. Bounds sockets and processor time:
+/// their own reports come in meanwhile.
+pub const GREETINGS_AT_MOST: usize = 24;
+/// How long after it won it begins, ms: most workers come by themselves where nothing hangs.
+pub const GREET_AFTER_MS: u64 = 1_000;
 /// A machine that was in the roster this long ago has booted, or never will, ms.
 pub const SURELY_UP_MS: u64 = 60_000;
 /// Pause before a node that gave up leadership stands again, ms. Others are quicker.
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -263,6 +263,56 @@
         }
     }
 
+    /// Workers that have not reported since the takeover and should be asked what is on their machines: name
+    /// and address. The outcome comes with [`Ledger::greeted`].
+    ///
+    /// A worker finds a new leader only after its report to the old one has failed, which takes it some
+    /// seconds for each controller that hangs; until all have reported, most work of earlier terms waits.
+    pub fn take_greetings(&mut self, now: u64) -> Vec<(String, String)> {
+        let room = constants::GREETINGS_AT_MOST.saturating_sub(self.greetings);
+        if room == 0 || self.unheard.is_empty() || now < self.won_at + constants::GREET_AFTER_MS {
+            return Vec::new();
+        }
+        let mut chosen = Vec::new();
+        for name in &self.unheard {
+            if chosen.len() >= room {
+                break;
+            }
+            let Some(host) = self.hosts.get_mut(name) else { continue };
+            if !host.heard && !host.greeted && !host.addr.is_empty() && host.closing.is_none() {
+                host.greeted = true;
+                chosen.push((name.clone(), host.addr.clone()));
+            }
+        }
+        self.greetings += chosen.len();
+        chosen
+    }
+
+    /// What a worker said that was asked what is on its machine. With the new term's token it names
+    /// everything: whatever an earlier leader sent, the worker refuses from then on. It renewed no lease, so
+    /// the lease is still reckoned from when an earlier leader may have answered.
+    pub fn greeted(&mut self, name: &str, report: Option<CheckIn>, now: u64) {
+        self.greetings = self.greetings.saturating_sub(1);
+        let Some(report) = report.filter(|r| r.host == name && r.baton >= self.term) else {
+            return;
+        };
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let stamp = (report.tenure, report.tick);
+        let over = report.tenure <= host.dead_tenure || host.closing.is_some();
+        if over || host.heard || stamp <= host.newest {
+            return;
+        }
+        host.heard = true;
+        host.newest = stamp;
+        host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
+        host.addr.clone_from(&report.addr);
+        host.flavor.clone_from(&report.flavor);
+        host.yard.clone_from(&report.yard);
+        host.loaner = report.loaners;
+        self.unheard.remove(name);
+        self.take_report(name, &report, now, true);
+    }
+
     /// Starts that were sent under `token` surely won't arrive any more.
     fn not_started(&mut self, name: &str, token: u64) {
         let Some(host) = self.hosts.get_mut(name) else { return };
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -437,6 +437,9 @@
                 host.flavor.clone_from(&entry.flavor);
                 host.yard.clone_from(&entry.yard);
                 host.loaner = entry.loaners;
+                if let Some(addr) = &entry.addr {
+                    host.addr.clone_from(addr);
+                }
                 host.born = host.born.min(now.saturating_sub(age_ms));
             }
             host.first_listed.get_or_insert(now as i64);
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -163,6 +163,8 @@
     planned_on: BTreeSet<String>,
     /// Messages with starts that are under way straight to workers.
     directs: usize,
+    /// Workers that are being asked what is on their machines.
+    greetings: usize,
     /// Some task may have to be stopped that its worker was not told about.
     stops_due: bool,
     /// When this leader won, ms.
@@ -259,6 +261,7 @@
             strangers: 0,
             planned_on: BTreeSet::new(),
             directs: 0,
+            greetings: 0,
             stops_due: false,
             won_at: at.now,
             told: at,
@@ -620,8 +623,9 @@
         let report_ms = self.setup.params.workers.report_s * 1000.0;
         let limit =
             ((report_ms * constants::DESERTED_REPORTS) as u64).max(constants::DESERTED_LEAST_MS);
-        let mut expected = 0;
-        let mut latest = self.won_at.max(self.resumed_at);
+        let mut expected = 0u32;
+        let since = self.won_at.max(self.resumed_at);
+        let mut latest = since;
         for (name, host) in &self.hosts {
             // Machines that have reported here, and those of the roster that must be up by now.
             let old = host
@@ -634,7 +638,12 @@
                 expected += 1;
             }
         }
-        expected >= 2 && now >= latest + limit
+        // Where hundreds report, all of them are silent together within seconds only if this node can't hear
+        // them. But workers that look for a new leader come one by one.
+        let part = (constants::DESERTED_MACHINES / f64::from(expected.max(1))).min(1.0);
+        let soon = ((report_ms * constants::DESERTED_REPORTS * part) as u64)
+            .clamp(constants::DESERTED_SOON_MS, limit);
+        expected >= 2 && now >= latest + if latest > since { soon } else { limit }
     }
 
     /// Time after an answer by which a worker surely reports again, ms.
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -376,6 +376,8 @@
     pub addr: String,
     /// Its worker has reported to this leader.
     pub heard: bool,
+    /// It was asked by this leader what is on it.
+    pub greeted: bool,
     /// Newest message: session and sequence number.
     pub newest: (u64, u64),
     /// Newest report that it sent by itself: session and sequence number.
@@ -433,6 +435,7 @@
             loaner: false,
             addr: String::new(),
             heard: false,
+            greeted: false,
             newest: (0, 0),
             reported: (0, 0),
             bump: 0,
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -60,6 +60,7 @@
     Deleted(Vec<String>, bool),
     Listed(Vec<ListedHost>, u64),
     Delivered(String, u64, Delivery),
+    Greeted(String, Option<CheckIn>),
     Reload,
 }
 
@@ -107,6 +108,7 @@
     flavors_seen: Option<Arc<Vec<Flavor>>>,
     last_log: u64,
     last_direct: u64,
+    last_work: u64,
 }
 
 impl Node {
@@ -168,6 +170,7 @@
             flavors_seen: None,
             last_log: 0,
             last_direct: 0,
+            last_work: self.clock.now(),
         };
         self.start_loading(&mut term);
         let mut tick = tokio::time::interval(Duration::from_millis(constants::TICK_MS));
@@ -366,11 +369,34 @@
             Note::Listed(list, asked) => {
                 if let Some(ledger) = &mut term.ledger {
                     ledger.listed(&list, asked, at.now);
+                    self.greet(term, at.now);
+                }
+            }
+            Note::Greeted(host, report) => {
+                if let Some(ledger) = &mut term.ledger {
+                    ledger.greeted(&host, report, at.now);
+                    self.greet(term, at.now);
                 }
             }
         }
     }
 
+    /// Asks workers that have not found this leader yet what is on their machines.
+    fn greet(&self, term: &mut Term, now: u64) {
+        if !self.validity.holds(term.mandate.term, now) {
+            return;
+        }
+        let Some(ledger) = term.ledger.as_mut() else { return };
+        for (host, address) in ledger.take_greetings(now) {
+            let (workers, notes) = (self.workers.clone(), term.notes.clone());
+            let token = term.mandate.term;
+            term.helpers.spawn(async move {
+                let report = workers.greet(&address, token).await;
+                let _ = notes.send(Note::Greeted(host, report)).await;
+            });
+        }
+    }
+
     /// Starts the next transaction, if there is one.
     fn flush(&self, term: &mut Term) {
         let now = self.clock.now();
@@ -415,6 +441,12 @@
             }
             return;
         }
+        // It stood still, lease or not: what fell silent meanwhile may have been heard in vain.
+        let stood_still = now >= term.last_work + constants::STOOD_STILL_MS;
+        term.last_work = now;
+        if stood_still && !term.paused {
+            ledger.resumed(now);
+        }
         if term.paused {
             tracing::info!("the lease holds again");
             term.paused = false;
@@ -469,6 +501,7 @@
                 }
             });
         }
+        self.greet(term, now);
         self.flush(term);
     }
 
