--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -10,7 +10,8 @@
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
 use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker, flavors};
 use hookway_wire::{
-    Cause, Change, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order, Transaction,
+    Cause, Change, DirectOrders, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order,
+    Transaction,
 };
 
 fn job(id: &str, shape: &str, pieces: u32) -> JobSpec {
@@ -672,7 +673,7 @@
 }
 
 /// A machine that is up, quiet, and has just been given a task.
-fn with_a_direct_start(play: &mut Play, w: &mut ScriptedWorker) -> hookway_wire::DirectOrders {
+fn with_a_direct_start(play: &mut Play, w: &mut ScriptedWorker) -> DirectOrders {
     play.settle(&mut [w]);
     play.submit(job("req-000001", "array", 1));
     play.wait(1_000);
@@ -1427,3 +1428,97 @@
     }
     assert!(gone.contains(&"m-1".to_owned()), "{gone:?}");
 }
+
+/// Own days of 2026-12-02: after a leader stood still while another controller was down, workers took 10 s and
+/// more to find the new one, and until all had, nothing of older jobs started.
+#[test]
+fn a_new_leader_that_asks_workers_what_they_have_need_not_wait_for_their_reports() {
+    let mut play = Play::start();
+    let (mut one, mut two) = (small("m-1", "a"), small("m-2", "a"));
+    // One task fills a machine; the third one waits.
+    play.submit(job("req-000001", "array", 3));
+    play.settle(&mut [&mut one, &mut two]);
+    assert_eq!(one.live().len() + two.live().len(), 2);
+    one.end(&one.live()[0].clone(), Cause::Done);
+
+    let mut next = Play::lead(play.store.clone(), 5_000, 20_000);
+    let list = ["m-1", "m-2"].map(|m| ListedHost {
+        addr: Some("127.0.0.1:9".into()),
+        ..listed(m, HostState::Running, 60.0)
+    });
+    next.ledger.listed(&list, next.now, next.now);
+    assert!(next.ledger.take_greetings(next.now).is_empty(), "most come by themselves");
+    next.now += 1_500;
+    let mut asked = next.ledger.take_greetings(next.now);
+    asked.sort();
+    let names: Vec<&str> = asked.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["m-1", "m-2"]);
+    assert!(next.ledger.take_greetings(next.now).is_empty(), "once each");
+
+    // A report without the new token may be older than the takeover.
+    next.ledger.greeted("m-1", Some(one.report()), next.now);
+    next.ledger.greeted("m-2", None, next.now);
+    assert!(!next.ledger.settled(next.now));
+
+    let late = play.ledger.check_in(&one.report(), play.now + 1_000).expect("an answer");
+    let mut next = Play::lead(next.store.clone(), 9_000, 30_000);
+    next.ledger.listed(&list, next.now, next.now);
+    next.now += 1_500;
+    assert_eq!(next.ledger.take_greetings(next.now).len(), 2);
+    let hello = DirectOrders { baton: 9_000, tenure: 1, orders: vec![] };
+    for (name, w) in [("m-1", &mut one), ("m-2", &mut two)] {
+        let report = w.orders(&hello);
+        next.ledger.greeted(name, report, next.now);
+    }
+    assert!(next.ledger.settled(next.now), "both have named everything");
+    assert!(!one.take(&late), "what an earlier leader answered, the worker refuses from then on");
+    // The free task starts at once, on the machine whose task is done.
+    next.wait(500);
+    let starts = next.ledger.take_direct(next.now);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert_eq!(starts[0].0, "m-1");
+}
+
+/// An answer to that question renews no lease: what a worker has is still gone when its lease, reckoned from the
+/// last answer of an earlier leader, is over.
+#[test]
+fn a_worker_that_was_asked_what_it_has_is_not_thought_to_live_longer() {
+    let mut play = Play::start();
+    let mut w = small("m-1", "a");
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut w]);
+    let mut next = Play::lead(play.store.clone(), 5_000, 20_000);
+    next.now += 2_000;
+    let hello = DirectOrders { baton: 5_000, tenure: 1, orders: vec![] };
+    let report = w.orders(&hello);
+    next.ledger.greeted("m-1", report, next.now);
+    assert_eq!(w.live().len(), 1);
+    let over = 20_000 + lease_over_ms(&setup().params);
+    next.now = over - 100;
+    next.wait(0);
+    assert_eq!(next.ledger.summary(next.now).tasks, 1, "until then it may run");
+    next.now = over + 100;
+    next.wait(0);
+    assert_eq!(next.ledger.summary(next.now).tasks, 0);
+}
+
+/// A controller that was cut off from its workers alone kept the lease for 24 s of an ops day: three of their
+/// report intervals, although 150 reports a second had been coming.
+#[test]
+fn the_more_workers_report_the_sooner_a_leader_knows_that_it_hears_none() {
+    let mut play = Play::start();
+    let mut workers: Vec<ScriptedWorker> =
+        (0..60).map(|n| small(&format!("m-{n:02}"), "a")).collect();
+    for w in &mut workers {
+        play.beat(w);
+    }
+    play.now += 1_000;
+    for w in &mut workers {
+        play.beat(w);
+    }
+    assert!(!play.ledger.deserted(play.now + 2_500));
+    assert!(play.ledger.deserted(play.now + 3_500));
+    // It stood still itself: what it did not hear meanwhile proves nothing.
+    play.ledger.resumed(play.now + 3_400);
+    assert!(!play.ledger.deserted(play.now + 7_000));
+}
