--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -12,7 +12,8 @@
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
 use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker, flavors};
 use hookway_wire::{
-    Cause, CheckIn, CheckInAnswer, DirectOrders, Guard, JobId, JobSpec, Transaction,
+    Cause, CheckIn, CheckInAnswer, DirectOrders, Guard, HostState, JobId, JobSpec, ListedHost,
+    Transaction,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -40,6 +41,9 @@
     Answer(usize, u64, CheckInAnswer, bool),
     Direct(usize, u64, DirectOrders),
     Reply(u64, String, u64, Delivery),
+    /// A new leader asks what is on a machine.
+    Greet(usize, u64),
+    Greeted(u64, String, Option<CheckIn>),
     /// A transaction arrives at the store, in the term that sent it.
     Commit(u64, Box<Commit>),
     /// It arrives when its sender has given it up.
@@ -93,9 +97,16 @@
     done: BTreeSet<String>,
     withdrawn_at: BTreeMap<JobId, u64>,
     starts: usize,
+    errors: usize,
+    greeted: usize,
     setup: Setup,
 }
 
+/// Some jobs were submitted with a mistake: they fail on every machine until their users withdraw them.
+fn mistaken(id: &str) -> bool {
+    id.bytes().next_back().is_some_and(|b| b == b'5')
+}
+
 fn setup() -> Setup {
     Setup {
         label: "worker-0".into(),
@@ -143,6 +154,8 @@
             done: BTreeSet::new(),
             withdrawn_at: BTreeMap::new(),
             starts: 0,
+            errors: 0,
+            greeted: 0,
             setup: setup(),
         }
     }
@@ -202,7 +215,18 @@
         setup.domain = ZONES[node].into();
         setup.siblings.retain(|(label, _)| label != ZONES[node]);
         self.siblings[node].holding.won(term);
-        let ledger = Ledger::new(setup, term, guard, flavors(), loaded, self.moment());
+        let mut ledger = Ledger::new(setup, term, guard, flavors(), loaded, self.moment());
+        let listed = |m: &Machine| ListedHost {
+            name_id: m.name.clone(),
+            addr: Some("127.0.0.1:9".into()),
+            flavor: "small".into(),
+            yard: m.worker.zone().into(),
+            loaners: false,
+            status: HostState::Running,
+            age_s: 0.0,
+        };
+        let list: Vec<ListedHost> = self.machines.iter().filter(|m| !m.dead).map(listed).collect();
+        ledger.listed(&list, self.now, self.now);
         let reign = if self.now < CALM_AT { self.rng.random_range(1_000..40_000) } else { END_AT };
         let until = self.now + reign;
         self.leader = Some(Leader { ledger, term, until, node, doubt_until: 0 });
@@ -235,6 +259,13 @@
     }
 
     fn withdraw(&mut self) {
+        if self.now == CALM_AT + 60_000
+            && let Some(leader) = &mut self.leader
+        {
+            for spec in self.jobs.iter().filter(|j| mistaken(j.name_id.as_str())) {
+                leader.ledger.withdraw(&spec.name_id);
+            }
+        }
         if self.jobs.is_empty() || !self.chance(3) {
             return;
         }
@@ -255,7 +286,7 @@
                 // The controller alone is cut off, or its whole zone.
                 let until = now + self.rng.random_range(1_000..60_000);
                 self.siblings[n].cut_until = until;
-                if self.rng.random_range(0..2) == 0 {
+                if self.rng.random_range(0..4) > 0 {
                     let here = self.machines.iter_mut().filter(|m| m.worker.zone() == zone);
                     here.for_each(|m| m.cut_until = until);
                 }
@@ -320,6 +351,7 @@
         for (host, _, orders) in leader.ledger.take_direct(now) {
             messages.push((index(&host) - 1, orders, true));
         }
+        let greetings = leader.ledger.take_greetings(now);
         let stops = leader.ledger.take_pushes(now);
         let commit = leader.ledger.next_commit(now);
         // Stops carry no reply that the ledger waits for. Their address says nothing here, so they go
@@ -353,6 +385,9 @@
                 self.queue.insert(at, give_up);
             }
         }
+        for (host, _) in greetings {
+            self.send(|| Message::Greet(index(&host) - 1, term));
+        }
         if let Some(commit) = commit {
             self.commit(commit);
         }
@@ -500,6 +535,24 @@
                     leader.ledger.delivered(&name, token, delivery, now);
                 }
             }
+            Message::Greet(m, term) => {
+                let machine = &mut self.machines[m];
+                if now < machine.cut_until || now < machine.deaf_until || machine.dead {
+                    return;
+                }
+                // It is asked again under the session that its refusal names.
+                let tenure = machine.worker.session();
+                let hello = DirectOrders { baton: term, tenure, orders: vec![] };
+                let report = machine.worker.orders(&hello);
+                let name = machine.name.clone();
+                self.send(|| Message::Greeted(term, name.clone(), report.clone()));
+            }
+            Message::Greeted(term, name, report) => {
+                if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
+                    self.greeted += usize::from(report.is_some());
+                    leader.ledger.greeted(&name, report, now);
+                }
+            }
             Message::Commit(term, commit) => self.carry_out(term, *commit),
             Message::Late(transaction) => {
                 let _ = self.store.commit(&transaction);
@@ -541,6 +594,7 @@
                 self.machines[m].deaf_until = until;
             }
         }
+        let bad_luck = self.chance(30);
         let machine = &mut self.machines[m];
         if calm {
             (machine.cut_until, machine.deaf_until) = (0, 0);
@@ -554,6 +608,16 @@
         // Tasks run for a few seconds, a few for much longer than a controller is waited for.
         for task in machine.worker.live() {
             let since = machine.since.get(&task).copied().unwrap_or(now);
+            let (id, _) = task.split_once('/').expect("a task");
+            // A mistake, or bad luck.
+            let fails = mistaken(id) && now >= since + 1_000;
+            let unlucky = bad_luck && since + 2_000 == now;
+            if fails || unlucky {
+                self.errors += 1;
+                machine.worker.end(&task, Cause::Error);
+                machine.next_report = machine.next_report.min(now + 100);
+                continue;
+            }
             let long = task.ends_with('7');
             if now < since + if long { 25_000 } else { 6_000 } {
                 continue;
@@ -627,8 +691,8 @@
 
 #[test]
 fn no_rule_is_broken_and_no_job_is_forgotten_on_random_days() {
-    let (mut starts, mut kept) = (0, 0);
-    for seed in 0..24 {
+    let (mut starts, mut kept, mut errors, mut greeted) = (0, 0, 0, 0);
+    for seed in 0..30 {
         let mut model = Model::new(seed);
         model.play();
         for spec in &model.jobs {
@@ -636,10 +700,14 @@
             assert!(over, "seed {seed}: {} has no end", spec.name_id);
         }
         starts += model.starts;
+        errors += model.errors;
+        greeted += model.greeted;
         kept += model.siblings.iter().map(|s| s.kept).sum::<usize>();
         assert!(model.next_term > 3 * hookway_constants::TOKENS_PER_TERM, "several leaders");
     }
     assert!(kept > 50, "holders answered workers: {kept}");
+    assert!(errors > 300, "tasks failed: {errors}");
+    assert!(greeted > 100, "new leaders asked workers: {greeted}");
     assert!(starts > 5_000, "the days were busy: {starts}");
     assert!(lease_over_ms(&setup().params) < CALM_AT);
 }
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -209,7 +209,7 @@
                         continue;
                     }
                     let lower = |h: &&HeldView| world.jobs[h.job].rank < job.rank;
-                    let Some(at) = stops[i].iter().position(|h| lower(&h)) else { break };
+                    let Some(at) = stops[i].iter().position(lower) else { break };
                     let held = stops[i].swap_remove(at);
                     room[i].give(&held.need);
                     found.victims.push((i, held.tag));
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -34,6 +34,11 @@
         &self.report.yard
     }
 
+    /// Its session.
+    pub fn session(&self) -> u64 {
+        self.report.tenure
+    }
+
     /// Its next report.
     pub fn report(&mut self) -> CheckIn {
         self.report.tick += 1;
