--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -43,6 +43,10 @@
 pub const OPEN_STEPS: u32 = 4;
 /// Tasks in such a step, at least.
 pub const OPEN_LEAST: u32 = 32;
+/// An array of at most so many tasks starts at once or nearly so: its minimum is not worth a record.
+pub const SMALL_JOB_TASKS: u32 = 8;
+/// Small jobs that share a record of marks: a kilobyte, rewritten for each handful of jobs that begin.
+pub const SHARED_MARKS: usize = 64;
 /// Relative change of a minimum that makes its record be written again (the design's quarter).
 pub const MINIMUM_REWRITE_CHANGE: f64 = 0.25;
 /// Share of the store's request rate that one node's ledger allows itself; only the leader's has any use
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -64,6 +64,11 @@
                 (now - host.born.min(now)) as f64 / 1e3
             );
         }
+        // The lease of a session that was not known may have begun just now, whenever the machine was last
+        // answered.
+        if new_session || !host.heard {
+            host.last_answer = now;
+        }
         host.heard = true;
         if host.closing == Some(super::fleet::SILENT) && !self.deleting.contains(name) {
             host.closing = None;
@@ -109,7 +114,7 @@
         let host = self.hosts.get_mut(name)?;
         host.soon = if orders.is_empty() { 0 } else { now + constants::REPORT_SOON_MS };
         let baton = self.term + host.bump;
-        let mut expected = Expected { answered_before, ..Expected::default() };
+        let mut expected = Expected { answered_before, answered_at: now, ..Expected::default() };
         expected.token = (baton > report.baton).then_some(baton);
         for order in &orders {
             match order {
@@ -146,7 +151,10 @@
             (self.setup.params.workers.report_s * 1000.0 * constants::LONGEST_REPORT) as u64;
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.deaf += 1;
-        host.last_answer = expected.answered_before;
+        // Unless it was answered since: as a holder, while this leader's lease was in doubt.
+        if host.last_answer <= expected.answered_at {
+            host.last_answer = expected.answered_before;
+        }
         // One answer may get lost by itself.
         if host.deaf > 1 {
             host.pause_until = host.pause_until.max(now + pause);
@@ -289,8 +297,8 @@
     }
 
     /// What a worker said that was asked what is on its machine. With the new term's token it names
-    /// everything: whatever an earlier leader sent, the worker refuses from then on. It renewed no lease, so
-    /// the lease is still reckoned from when an earlier leader may have answered.
+    /// everything: whatever an earlier leader sent, the worker refuses from then on. It renewed no lease; but
+    /// the worker may be in a session whose lease began just now.
     pub fn greeted(&mut self, name: &str, report: Option<CheckIn>, now: u64) {
         self.greetings = self.greetings.saturating_sub(1);
         let Some(report) = report.filter(|r| r.host == name && r.baton >= self.term) else {
@@ -303,6 +311,7 @@
             return;
         }
         host.heard = true;
+        host.last_answer = now;
         host.newest = stamp;
         host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
         host.addr.clone_from(&report.addr);
--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -1,9 +1,10 @@
+use super::marks::SharedMarks;
 use super::roster::Roster;
 use super::{Ledger, Slot};
 use crate::config::Params;
 use crate::records::{
-    FinalRecord, LANES, LaneRecord, MinimumRecord, ProgressRecord, final_key, job_key, minimum_key,
-    progress_key, roster_key,
+    FinalRecord, LANES, LaneRecord, MINIMUMS, MinimumRecord, ProgressRecord, ROSTER,
+    SharedMarksRecord, final_key, job_key, minimum_key, progress_key, roster_key, shared_marks_key,
 };
 use hookway_constants as constants;
 use hookway_policy::needs_rewrite;
@@ -44,6 +45,9 @@
     pub finals: VecDeque<u64>,
     pub chunks: VecDeque<(u64, usize)>,
     pub roster: Roster,
+    pub marks: SharedMarks,
+    /// Versions of the leader's own records in the store, by key.
+    stamps: HashMap<String, u64>,
     /// Entries of the older format, by machine: dropped once a record holds the machine.
     old_entries: HashMap<String, String>,
     trash: VecDeque<String>,
@@ -67,6 +71,8 @@
             finals: VecDeque::new(),
             chunks: VecDeque::new(),
             roster: Roster::new(params.state.value_kb),
+            marks: SharedMarks::default(),
+            stamps: HashMap::new(),
             old_entries: HashMap::new(),
             trash: VecDeque::new(),
             minimums: BTreeSet::new(),
@@ -80,6 +86,15 @@
         }
     }
 
+    /// The version of one of the leader's own records, as it was read; 0 if there is none.
+    pub fn stamp(&mut self, key: &str, stamp: u64) {
+        if stamp == 0 {
+            self.stamps.remove(key);
+        } else {
+            self.stamps.insert(key.to_owned(), stamp);
+        }
+    }
+
     pub fn trash(&mut self, key: String) {
         self.trash.push_back(key);
     }
@@ -91,6 +106,11 @@
     }
 }
 
+/// Whether a key is of a record that only leaders write and that they write again and again.
+fn is_own(key: &str) -> bool {
+    key == LANES || key.starts_with(MINIMUMS) || key.starts_with(ROSTER)
+}
+
 #[derive(Debug, Clone)]
 enum Item {
     Final(u64, FinalRecord),
@@ -98,6 +118,8 @@
     Roster(u64, Vec<(String, Vec<u32>)>),
     Trash(String),
     Minimum(u64, MinimumRecord),
+    /// A record of small jobs that may be started, and those that wait for it.
+    Marks(u64, Vec<u64>),
     Lanes,
 }
 
@@ -137,6 +159,13 @@
         self.transaction.guards.push(Guard { key, stamp });
     }
 
+    /// A transaction without an answer may be carried out late, after newer ones of this leader. So each
+    /// overwrites just the version that it knows: else an old mark or roster would come back, and the next
+    /// leader would start what runs on a machine that it does not hear.
+    fn over(&mut self, stamps: &HashMap<String, u64>, key: &str) {
+        self.guard(key.to_owned(), stamps.get(key).copied().unwrap_or(0));
+    }
+
     fn put(&mut self, key: String, value: serde_json::Value) {
         self.bytes += key.len() + CHANGE_BYTES + value.to_string().len();
         self.transaction.apply.push(Change::put(key, value));
@@ -250,6 +279,7 @@
         });
         let members: Vec<(String, Vec<u32>)> = members.collect();
         let key = Roster::key(number);
+        commit.over(&self.writer.stamps, &key);
         if members.is_empty() {
             commit.delete(key);
         } else {
@@ -279,11 +309,29 @@
     }
 
     fn add_opens(&mut self, commit: &mut Commit) {
-        while commit.open(1)
+        let mut shared: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+        while commit.open(1 + shared.len())
             && let Some(key) = self.writer.opens.pop_first()
         {
+            let Some(job) = self.jobs.get_mut(&key) else { continue };
+            if job.small() && job.written_minimum.is_none() {
+                if job.live() {
+                    let fresh = || self.writer.marks.add(&job.id);
+                    let number = *job.shared_mark.get_or_insert_with(fresh);
+                    shared.entry(number).or_default().push(key);
+                }
+                continue;
+            }
             self.add_minimum(commit, key);
         }
+        for (number, keys) in shared {
+            let jobs = self.writer.marks.jobs(number).cloned().unwrap_or_default();
+            let Ok(value) = serde_json::to_value(SharedMarksRecord { jobs }) else { continue };
+            let key = shared_marks_key(number);
+            commit.over(&self.writer.stamps, &key);
+            commit.put(key, value);
+            commit.items.push(Item::Marks(number, keys));
+        }
     }
 
     fn add_minimums(&mut self, commit: &mut Commit, now: u64) {
@@ -308,6 +356,7 @@
             return;
         }
         self.writer.minimum_bucket.units -= 1.0;
+        commit.over(&self.writer.stamps, LANES);
         commit.put(LANES.to_owned(), value);
         commit.items.push(Item::Lanes);
     }
@@ -321,7 +370,9 @@
             opened: job.opened.max(job.opening),
         };
         let Ok(value) = serde_json::to_value(&record) else { return };
-        commit.put(minimum_key(&job.id), value);
+        let name = minimum_key(&job.id);
+        commit.over(&self.writer.stamps, &name);
+        commit.put(name, value);
         commit.items.push(Item::Minimum(key, record));
         self.writer.minimums.remove(&key);
     }
@@ -330,7 +381,7 @@
     pub(super) fn keep_minimum(&mut self, key: u64, least: u32) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         job.least = least;
-        if needs_rewrite(job.written_minimum, least) {
+        if !job.small() && needs_rewrite(job.written_minimum, least) {
             self.writer.minimums.insert(key);
         }
     }
@@ -340,6 +391,13 @@
         self.writer.busy = false;
         match result {
             CommitResult::Applied(epoch) => {
+                for change in &commit.transaction.apply {
+                    match change {
+                        Change::Put { put, .. } if is_own(put) => self.writer.stamp(put, epoch),
+                        Change::Put { .. } => {}
+                        Change::Delete { delete } => self.writer.stamp(delete, 0),
+                    }
+                }
                 for item in commit.items {
                     self.applied(item, epoch);
                 }
@@ -403,6 +461,18 @@
                     }
                 }
             }
+            Item::Marks(number, keys) => {
+                for key in keys {
+                    if let Some(job) = self.jobs.get_mut(&key) {
+                        job.opened = job.spec.pieces;
+                        job.written_opened = true;
+                    }
+                }
+                // All of them ended while it was under way.
+                if self.writer.marks.jobs(number).is_none() {
+                    self.writer.trash.push_back(shared_marks_key(number));
+                }
+            }
             Item::Trash(_) | Item::Lanes => {}
         }
     }
@@ -419,6 +489,7 @@
             Item::Roster(number, _) => self.writer.roster.again(number),
             Item::Trash(key) => self.writer.trash.push_back(key),
             Item::Lanes => self.writer.lanes = true,
+            Item::Marks(_, keys) => self.writer.opens.extend(keys),
             Item::Minimum(key, _) => {
                 let waits = |j: &super::Job| j.opening > j.opened || !j.written_opened;
                 if self.jobs.get(&key).is_some_and(waits) {
@@ -441,6 +512,10 @@
 
     /// A key was read again after an unclear or failed transaction.
     fn learn(&mut self, key: &str, value: Option<KeyValue>) {
+        if is_own(key) {
+            self.writer.stamp(key, value.map_or(0, |kv| kv.stamp));
+            return;
+        }
         let mut parts = key.split('/');
         let kind = parts.next().unwrap_or_default();
         let job = parts.next().and_then(JobId::parse).and_then(|id| self.by_id.get(&id)).copied();
--- /dev/null
+++ b/crates/controller/src/ledger/marks.rs
@@ -0,0 +1,69 @@
+use hookway_constants as constants;
+use hookway_wire::JobId;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Marks of small jobs: which of them may have been started. Thousands of one-task jobs can come within a
+/// minute or two, and a record for each would take the write budget of all others; so they share records.
+///
+/// Being named in a record that the store may hold is what counts: a job stays in its record until it is over.
+#[derive(Debug, Default)]
+pub(super) struct SharedMarks {
+    records: BTreeMap<u64, BTreeSet<JobId>>,
+    /// The record that is being filled.
+    current: u64,
+}
+
+impl SharedMarks {
+    /// A record that an earlier leader wrote, or one that can't be read: its number is taken.
+    pub fn loaded(&mut self, number: u64, jobs: BTreeSet<JobId>) {
+        self.current = self.current.max(number + 1);
+        self.records.insert(number, jobs);
+    }
+
+    /// Puts a job into the record that is being filled; the record's number.
+    pub fn add(&mut self, id: &JobId) -> u64 {
+        let full = |jobs: &BTreeSet<JobId>| jobs.len() >= constants::SHARED_MARKS;
+        if self.records.get(&self.current).is_some_and(full) {
+            self.current += 1;
+        }
+        self.records.entry(self.current).or_default().insert(id.clone());
+        self.current
+    }
+
+    /// The jobs of a record.
+    pub fn jobs(&self, number: u64) -> Option<&BTreeSet<JobId>> {
+        self.records.get(&number)
+    }
+
+    /// A job is over. `true`: its record names no other and is not being filled any more.
+    pub fn remove(&mut self, number: u64, id: &JobId) -> bool {
+        let Some(jobs) = self.records.get_mut(&number) else { return false };
+        jobs.remove(id);
+        let gone = jobs.is_empty() && number != self.current;
+        if gone {
+            self.records.remove(&number);
+        }
+        gone
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_record_goes_when_all_of_its_jobs_are_over_and_its_number_is_not_used_again() {
+        let mut marks = SharedMarks::default();
+        let id = |n: usize| JobId::parse(&format!("req-{n:06}")).unwrap();
+        marks.loaded(3, BTreeSet::from([id(999)]));
+        let numbers: Vec<u64> = (0..=constants::SHARED_MARKS).map(|n| marks.add(&id(n))).collect();
+        assert_eq!((numbers[0], numbers[constants::SHARED_MARKS]), (4, 5));
+        for n in 1..constants::SHARED_MARKS {
+            assert!(!marks.remove(4, &id(n)), "it names job 0");
+        }
+        assert!(marks.remove(4, &id(0)));
+        assert!(!marks.remove(5, &id(constants::SHARED_MARKS)), "it is being filled");
+        assert!(marks.remove(3, &id(999)));
+        assert_eq!(marks.add(&id(1)), 5);
+    }
+}
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 mod checkin;
 mod commit;
 mod fleet;
+mod marks;
 mod model;
 mod roster;
 mod schedule;
@@ -20,6 +21,7 @@
 use crate::holders::{BlockLease, Holders, Renewal};
 use crate::records::{
     FinalRecord, ImagesRecord, JobRecord, LaneRecord, MinimumRecord, ProgressRecord, RosterRecord,
+    SharedMarksRecord,
 };
 use commit::Writer;
 use hookway_constants as constants;
@@ -138,7 +140,7 @@
     buried: Recent<String>,
     blocks: Blocks,
     /// Machines of the roster that have not reported to this leader yet.
-    unheard: HashSet<String>,
+    unheard: BTreeSet<String>,
     /// When those may have been answered last by an earlier leader.
     unheard_since: u64,
     /// Which controllers may answer workers while the leader can't.
@@ -245,7 +247,7 @@
             hosts: BTreeMap::new(),
             buried: Recent::new(constants::RECENT_KEPT),
             blocks: Blocks::default(),
-            unheard: HashSet::new(),
+            unheard: BTreeSet::new(),
             unheard_since: at.now,
             holders,
             resumed_at: at.now,
@@ -272,6 +274,8 @@
     }
 
     fn load(&mut self, loaded: Loaded, at: Moment) {
+        let own = loaded.minimums.iter().chain(&loaded.roster).chain(&loaded.lanes);
+        own.for_each(|kv| self.writer.stamp(&kv.key, kv.stamp));
         // Without this a leader that finds no job of a class would return the machines that stand by
         // for it.
         let lanes = loaded.lanes.map(|kv| serde_json::from_value(kv.v));
@@ -300,7 +304,22 @@
                 _ => self.writer.trash(kv.key),
             }
         }
+        let mut unread_marks = false;
         for kv in loaded.minimums {
+            if let Some(number) = crate::records::shared_marks_number(&kv.key) {
+                match serde_json::from_value::<SharedMarksRecord>(kv.v) {
+                    Ok(record) => self.load_shared_marks(kv.key, number, record),
+                    Err(e) => {
+                        tracing::error!(
+                            "{}: can't be read, all jobs count as started: {e}",
+                            kv.key
+                        );
+                        unread_marks = true;
+                        self.writer.marks.loaded(number, BTreeSet::new());
+                    }
+                }
+                continue;
+            }
             let id = kv.key.rsplit('/').next().and_then(JobId::parse);
             let job = id.and_then(|id| self.by_id.get(&id)).and_then(|k| self.jobs.get_mut(k));
             match (job, serde_json::from_value::<MinimumRecord>(kv.v)) {
@@ -315,7 +334,7 @@
         }
         for job in self.jobs.values_mut() {
             // Without marks every task may have been started, and the next leader must know it too.
-            if !(job.marked && loaded.marked) {
+            if !(job.marked && loaded.marked) || unread_marks && job.small() {
                 job.opened = job.spec.pieces;
                 job.written_opened = false;
             }
@@ -361,6 +380,23 @@
         }
     }
 
+    /// Small jobs that an earlier leader may have started.
+    fn load_shared_marks(&mut self, key: String, number: u64, record: SharedMarksRecord) {
+        let mut live = BTreeSet::new();
+        for id in record.jobs {
+            let job = self.by_id.get(&id).and_then(|key| self.jobs.get_mut(key));
+            if let Some(job) = job {
+                job.opened = job.spec.pieces;
+                job.shared_mark = Some(number);
+                live.insert(id);
+            }
+        }
+        if live.is_empty() {
+            self.writer.trash(key);
+        }
+        self.writer.marks.loaded(number, live);
+    }
+
     /// A machine of the roster, known since that time of day.
     fn inherit_host(
         &mut self,
@@ -600,8 +636,15 @@
                 self.writer.trash(crate::records::progress_key(&job.id, chunk));
             }
         }
-        if job.written_minimum.is_some() || job.opened > 0 {
-            self.writer.trash(crate::records::minimum_key(&job.id));
+        match job.shared_mark {
+            Some(number) if self.writer.marks.remove(number, &job.id) => {
+                self.writer.trash(crate::records::shared_marks_key(number));
+            }
+            Some(_) => {}
+            None if job.written_minimum.is_some() || job.opened > 0 => {
+                self.writer.trash(crate::records::minimum_key(&job.id));
+            }
+            None => {}
         }
         self.stops_due = true;
         self.ended.insert(job.id.clone());
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -152,6 +152,8 @@
     pub written_opened: bool,
     /// Tasks from this on were not started by any earlier leader.
     pub sure_from: u32,
+    /// The record that it shares with other small jobs, which says that it may have been started.
+    pub shared_mark: Option<u64>,
 }
 
 impl Job {
@@ -209,10 +211,16 @@
             opening: 0,
             written_opened: true,
             sure_from: 0,
+            shared_mark: None,
             spec,
         }
     }
 
+    /// All of it starts at once or nearly so: it has no minimum worth a record, and shares its mark.
+    pub fn small(&self) -> bool {
+        self.spec.is_gang() || self.spec.pieces <= constants::SMALL_JOB_TASKS
+    }
+
     /// Tasks that are not completed.
     pub fn unfinished(&self) -> u32 {
         self.spec.pieces - self.done
@@ -343,6 +351,8 @@
     pub runs: Vec<(String, u64)>,
     /// Attempts that are not there any more.
     pub reaps: Vec<(String, u64)>,
+    /// When it was given, ms.
+    pub answered_at: u64,
     /// The last answer before that one, ms.
     pub answered_before: u64,
 }
--- a/crates/controller/src/records.rs
+++ b/crates/controller/src/records.rs
@@ -4,11 +4,12 @@
 //! | --- | --- |
 //! | `lead/now` | who leads; hangs on the leader's lease |
 //! | `lead/term` | the highest token so far; only grows |
-//! | `lead/marks` | the value of `lead/term` that the last leader that keeps marks wrote |
+//! | `lead/marked` | the value of `lead/term` that the last leader that keeps marks wrote |
 //! | `j/<job>` | an accepted job that is not over |
 //! | `f/<job>` | the final state of a job; written once, never changed |
 //! | `p/<job>/<chunk>` | which tasks of a job are done, as bits |
 //! | `m/<job>` | the job's minimum and mean task time (hints for the next leader), and how far its tasks may have been started |
+//! | `m/shared-<n>` | small jobs (gangs, and arrays of a few tasks) that may have been started |
 //! | `r/record-<n>` | machines that may have tasks, and the images they hold (a hint) |
 //! | `c/lanes` | what classes of jobs need (a hint for the next leader) |
 //!
@@ -20,7 +21,7 @@
 use hookway_policy::Room;
 use hookway_wire::{JobId, JobSpec, JobState, JobStatus};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What classes of jobs need.
 pub const LANES: &str = "c/lanes";
@@ -31,7 +32,9 @@
 /// The highest term.
 pub const LEAD_TERM: &str = "lead/term";
 /// The term of the last leader that recorded how far tasks of jobs may have been started.
-pub const LEAD_MARKS: &str = "lead/marks";
+/// Versions that did not share marks between small jobs have `lead/marks`: whichever kind of leader follows the
+/// other finds that the last term left no marks that it knows, and counts all jobs as started.
+pub const LEAD_MARKS: &str = "lead/marked";
 /// Prefix of these.
 pub const LEAD: &str = "lead/";
 /// Prefix of accepted jobs.
@@ -152,6 +155,13 @@
     pub opened: u32,
 }
 
+/// Value of `m/shared-<n>`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct SharedMarksRecord {
+    /// Jobs that may have been started.
+    pub jobs: BTreeSet<JobId>,
+}
+
 /// Value of `p/<job>/<chunk>`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgressRecord {
@@ -198,6 +208,16 @@
     format!("{MINIMUMS}{id}")
 }
 
+/// `m/shared-<n>`.
+pub fn shared_marks_key(number: u64) -> String {
+    format!("{MINIMUMS}shared-{number}")
+}
+
+/// The number of such a key.
+pub fn shared_marks_number(key: &str) -> Option<u64> {
+    key.strip_prefix(MINIMUMS)?.strip_prefix("shared-")?.parse().ok()
+}
+
 /// `r/<name>`.
 pub fn roster_key(host: &str) -> String {
     format!("{ROSTER}{host}")
