Starts, rentals and deletions are judged right before they go out

A process that stands still between deciding and sending may wake after its lease: whatever no token or version guards asks for the entitlement at the last moment.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -397,6 +397,13 @@
         }
     }
 
+    /// Whether this node may still act as the leader of a term, to be asked right before each effect that
+    /// no token or version guards, by whatever carries it out.
+    fn entitlement(&self, term: u64) -> impl Fn() -> bool + Send + use<> {
+        let (validity, clock) = (self.validity.clone(), self.clock);
+        move || validity.holds(term, clock.now())
+    }
+
     /// Starts the next transaction, if there is one.
     fn flush(&self, term: &mut Term) {
         let now = self.clock.now();
@@ -416,8 +423,14 @@
         }
         for (host, address, orders) in sends {
             let (workers, notes) = (self.workers.clone(), term.notes.clone());
+            let entitled = self.entitlement(term.mandate.term);
             term.helpers.spawn(async move {
-                let delivery = workers.send(&address, &orders).await;
+                // Nothing that was queued while this process stood still goes out on a stale right.
+                let delivery = if entitled() {
+                    workers.send(&address, &orders).await
+                } else {
+                    Delivery::NotSent
+                };
                 let _ = notes.send(Note::Delivered(host, orders.baton, delivery)).await;
             });
         }
@@ -514,11 +527,16 @@
     ) {
         let (cloud, notes) = (self.cloud.clone(), notes.clone());
         let term = mandate.term;
+        let entitled = self.entitlement(term);
         match action {
             FleetAction::Rent(request) => helpers.spawn(async move {
                 // After an unclear outcome the same request, under the same name, tells what was
                 // rented, or rents now.
                 loop {
+                    if !entitled() {
+                        pause(constants::LEADER_RETRY_MS).await;
+                        continue;
+                    }
                     match cloud.rent(&request).await {
                         Ok(RentOutcome::Rented(hosts)) => {
                             let _ = notes.send(Note::Rented(request, Some(hosts))).await;
@@ -536,9 +554,12 @@
                 }
             }),
             FleetAction::Delete(names) => helpers.spawn(async move {
-                let done = match cloud.delete(&names).await {
-                    Ok(()) => true,
-                    Err(e) => {
+                let answer = if entitled() { Some(cloud.delete(&names).await) } else { None };
+                let done = match answer {
+                    Some(Ok(())) => true,
+                    // A later leader may have given the machine work by now.
+                    None => false,
+                    Some(Err(e)) => {
                         tracing::debug!("deleting {names:?}: {e}");
                         pause(1_000).await;
                         false
