--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -74,12 +74,7 @@
             host.closing = None;
         }
         if !overtaken {
-            host.newest = stamp;
-            host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
-            host.addr.clone_from(&report.addr);
-            host.flavor.clone_from(&report.flavor);
-            host.yard.clone_from(&report.yard);
-            host.loaner = report.loaners;
+            host.described(report, now);
         }
         // Only now: a machine that never reported holds nothing, and the next leader need not wait for
         // it.
@@ -312,12 +307,7 @@
         }
         host.heard = true;
         host.last_answer = now;
-        host.newest = stamp;
-        host.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
-        host.addr.clone_from(&report.addr);
-        host.flavor.clone_from(&report.flavor);
-        host.yard.clone_from(&report.yard);
-        host.loaner = report.loaners;
+        host.described(&report, now);
         self.unheard.remove(name);
         self.take_report(name, &report, now, true);
     }
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -472,6 +472,16 @@
         }
     }
 
+    /// What its newest message says of the machine itself.
+    pub fn described(&mut self, report: &CheckIn, now: u64) {
+        self.newest = (report.tenure, report.tick);
+        self.notice = report.eviction_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
+        self.addr.clone_from(&report.addr);
+        self.flavor.clone_from(&report.flavor);
+        self.yard.clone_from(&report.yard);
+        self.loaner = report.loaners;
+    }
+
     /// The images on it, in no order of use.
     pub fn image_set(&self) -> Vec<u32> {
         let mut set: Vec<u32> = self.images.iter().map(|(i, _)| *i).collect();
