Bound arrays wait for silent machines after a takeover; unreadable marks count as started

Cause, found by reading: what no leader had started was startable at once after a change of leader, also for arrays that must be in one zone or may not all be in one. Tasks of theirs on machines that were not heard yet decide where others may start (wrong_place). And a record of marks that could not be read was taken to say that nothing had been started (ran_twice), and thrown away. Ruled out: gangs wait whole; shared records of marks were handled.

--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -286,6 +286,9 @@
             }
             Err(e) => tracing::error!("{}: can't be read: {e}", crate::records::LANES),
         }
+        // Of a job whose record can't be read nothing is thrown away: a later version may read it.
+        let accepted: HashSet<JobId> =
+            loaded.jobs.iter().filter_map(|kv| job_of_key(&kv.key)).collect();
         for kv in loaded.jobs {
             self.job_seen(&kv.key, kv.v, at, true);
         }
@@ -301,7 +304,13 @@
                 (Some((job, chunk)), Ok(record)) => {
                     self.learn_progress(job, chunk, kv.stamp, Some(&record));
                 }
-                _ => self.writer.trash(kv.key),
+                (Some((job, chunk)), Err(e)) => {
+                    // What it says is done runs once more, and the new record replaces just this version.
+                    tracing::error!("{}: the progress record can't be read: {e}", kv.key);
+                    self.learn_progress(job, chunk, kv.stamp, None);
+                }
+                (None, _) if job_of_key(&kv.key).is_some_and(|id| accepted.contains(&id)) => {}
+                (None, _) => self.writer.trash(kv.key),
             }
         }
         let mut unread_marks = false;
@@ -320,16 +329,28 @@
                 }
                 continue;
             }
-            let id = kv.key.rsplit('/').next().and_then(JobId::parse);
-            let job = id.and_then(|id| self.by_id.get(&id)).and_then(|k| self.jobs.get_mut(k));
-            match (job, serde_json::from_value::<MinimumRecord>(kv.v)) {
-                (Some(job), Ok(record)) => {
+            let id = job_of_key(&kv.key);
+            let known = id.as_ref().and_then(|id| self.by_id.get(id));
+            let Some(job) = known.and_then(|k| self.jobs.get_mut(k)) else {
+                if id.is_none_or(|id| !accepted.contains(&id)) {
+                    self.writer.trash(kv.key);
+                }
+                continue;
+            };
+            match serde_json::from_value::<MinimumRecord>(kv.v) {
+                Ok(record) => {
                     job.written_minimum = Some(record.least);
                     job.timed = record.timed;
                     job.sum_ms = record.sum_ms;
                     job.opened = record.opened.max(job.opened);
                 }
-                _ => self.writer.trash(kv.key),
+                Err(e) => {
+                    tracing::error!(
+                        "{}: can't be read, all of the job counts as started: {e}",
+                        kv.key
+                    );
+                    job.opened = job.spec.pieces;
+                }
             }
         }
         for job in self.jobs.values_mut() {
@@ -730,6 +751,11 @@
     }
 }
 
+/// The job that a record of the kind `<prefix>/<job>...` is about.
+fn job_of_key(key: &str) -> Option<JobId> {
+    key.split('/').nth(1).and_then(JobId::parse)
+}
+
 /// Length of a block's lease, ms: what the operators say, and so short that it and a worker's lease end
 /// within the time for a cancellation.
 pub fn block_lease_ms(setup: &Setup) -> u64 {
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -221,6 +221,11 @@
         self.spec.is_gang() || self.spec.pieces <= constants::SMALL_JOB_TASKS
     }
 
+    /// Where one of its tasks is decides where others may start.
+    pub fn bound_to_zones(&self) -> bool {
+        self.spec.together || self.spec.spread
+    }
+
     /// Tasks that are not completed.
     pub fn unfinished(&self) -> u32 {
         self.spec.pieces - self.done
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -111,8 +111,9 @@
         if !(unsettled && job.inherited) {
             return all;
         }
-        // What the store says was never started can't be on any of them.
-        if job.spec.is_gang() {
+        // What the store says was never started can't be on any of them. But where a job's tasks must be
+        // together, or may not all be, those that may be there decide where others may start.
+        if job.spec.is_gang() || job.bound_to_zones() {
             return if job.sure_from == 0 { all } else { 0 };
         }
         all.min(job.free.range(job.sure_from..).count() as u32)
--- a/crates/controller/tests/ledger.rs
+++ b/crates/controller/tests/ledger.rs
@@ -2,159 +2,19 @@
 //! moves. Each test names the failure that it guards against.
 #![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
 
+mod play;
+
 use hookway_clients::Delivery;
-use hookway_controller::config::{OperatorSettings, Settings};
+use hookway_controller::config::Settings;
 use hookway_controller::ledger::{
     CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup, Withdrawal, lease_over_ms,
 };
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
 use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker, flavors};
 use hookway_wire::{
-    Cause, Change, DirectOrders, Guard, HostState, JobId, JobSpec, JobState, ListedHost, Order,
-    Transaction,
+    Cause, Change, DirectOrders, Guard, HostState, JobId, JobState, ListedHost, Order, Transaction,
 };
-
-fn job(id: &str, shape: &str, pieces: u32) -> JobSpec {
-    let text = format!(
-        r#"{{"NameId":"{id}","Lane":"train","Owner":"team","Shape":"{shape}","Rank":"normal",
-        "Pieces":{pieces},"Vcpus":3.0,"Gpus":0,"RamGb":1,"Bundle":"img","ImageGb":1,
-        "Together":false,"Spread":false,"Loaners":true,"GuessS":10,"SnapshotEveryS":0,
-        "SnapshotS":0}}"#
-    );
-    JobSpec::parse(text.as_bytes()).expect("a sound job")
-}
-
-/// A controller that leads, its store, its clock.
-struct Play {
-    ledger: Ledger,
-    store: MemoryStore,
-    now: u64,
-}
-
-fn setup() -> Setup {
-    // So many writes a second that the budget never holds a test up.
-    let settings = SETTINGS.replace("write_rps = 25.0", "write_rps = 1000.0");
-    Setup {
-        label: "worker-0".into(),
-        domain: "a".into(),
-        siblings: vec![],
-        params: Settings::parse(&settings).expect("sound settings").settings,
-        operator: OperatorSettings::default(),
-    }
-}
-
-impl Play {
-    fn start() -> Self {
-        Self::lead(MemoryStore::default(), 1, 0)
-    }
-
-    /// A node wins the leadership for a term and reads everything.
-    fn lead(mut store: MemoryStore, term: u64, now: u64) -> Self {
-        let stamp = store.put(LEAD_NOW, serde_json::json!({ "term": term }));
-        let loaded = Loaded {
-            jobs: store.list("j/"),
-            progress: store.list("p/"),
-            minimums: store.list("m/"),
-            roster: store.list("r/"),
-            images: store.list("i/"),
-            lanes: store.get("c/lanes"),
-            marked: true,
-        };
-        let guard = Guard { key: LEAD_NOW.into(), stamp };
-        let at = Moment { now, wall: 1_000_000 + now };
-        let ledger = Ledger::new(setup(), term, guard, flavors(), loaded, at);
-        Self { ledger, store, now }
-    }
-
-    fn submit(&mut self, spec: JobSpec) -> JobId {
-        let id = spec.name_id.clone();
-        let record = JobRecord { spec, at_ms: 1_000_000 + self.now, marked: true };
-        let value = serde_json::to_value(record).expect("a record");
-        self.store.put(&job_key(&id), value.clone());
-        let at = Moment { now: self.now, wall: 1_000_000 + self.now };
-        self.ledger.job_seen(&job_key(&id), value, at, false);
-        id
-    }
-
-    /// Carries out everything that the ledger wants written.
-    fn flush(&mut self) {
-        while let Some(commit) = self.ledger.next_commit(self.now) {
-            let result = match self.store.commit(&commit.transaction) {
-                Ok(epoch) => CommitResult::Applied(epoch),
-                Err(_) => {
-                    let keys = commit.keys();
-                    CommitResult::Unsure(
-                        keys.into_iter().map(|k| (k.clone(), self.store.get(&k))).collect(),
-                    )
-                }
-            };
-            self.ledger.committed(commit, result, self.now);
-        }
-    }
-
-    /// One report of a worker, answered; the commands.
-    fn beat(&mut self, worker: &mut ScriptedWorker) -> Vec<Order> {
-        let report = worker.report();
-        let answer = self.ledger.check_in(&report, self.now);
-        let orders = answer.as_ref().map(|a| a.orders.clone()).unwrap_or_default();
-        if let Some(answer) = answer {
-            worker.take(&answer);
-        }
-        self.flush();
-        orders
-    }
-
-    /// Time passes, with a scheduling round.
-    fn wait(&mut self, ms: u64) {
-        self.now += ms;
-        self.ledger.round(self.now);
-        self.flush();
-    }
-
-    /// Reports and rounds until things settle.
-    fn settle(&mut self, workers: &mut [&mut ScriptedWorker]) {
-        for _ in 0..4 {
-            for worker in workers.iter_mut() {
-                self.beat(worker);
-            }
-            self.wait(500);
-        }
-    }
-
-    /// Whether the roster in the store names the machine.
-    fn rostered(&self, host: &str) -> bool {
-        self.store.list("r/").iter().any(|kv| kv.v["hosts"].get(host).is_some())
-    }
-
-    fn state(&self, id: &JobId) -> JobState {
-        match self.ledger.status(id) {
-            Lookup::Known(status) => status.status,
-            other => panic!("{id}: {other:?}"),
-        }
-    }
-
-    fn stored_final(&self, id: &JobId) -> Option<String> {
-        let kv = self.store.get(&final_key(id))?;
-        kv.v.get("state").and_then(|s| s.as_str()).map(str::to_owned)
-    }
-}
-
-fn small(name: &str, yard: &str) -> ScriptedWorker {
-    ScriptedWorker::new(name, "small", yard)
-}
-
-/// An entry of the cloud's list.
-fn listed(name: &str, status: HostState, age_s: f64) -> ListedHost {
-    ListedHost {
-        name_id: name.into(),
-        addr: None,
-        flavor: "small".into(),
-        yard: "a".into(),
-        loaners: false,
-        status,
-        age_s,
-    }
-}
+use play::{Play, job, listed, setup, small};
 
 #[test]
 fn a_job_runs_to_its_end_and_is_told_done_only_once_that_is_durable() {
