Cancellations are told on, holders act on them; answers are judged right before they go

Cause, by reading for the gap: what bounds the tasks of a cancelled job while the store is away is the block lease and a worker's lease after it, which holds; but a holder that hears of the cancellation need not wait for that. Whoever makes one durable tells the other controllers, and a holder's answer stops tasks of jobs that are over. A process that stands still between decision and answer lets the answer go if its right may be over. A cancellation that waits for a store that is away is answered 503 at once, not after its time limit. Gangs that their zones can never hold get 422. Each has a test that fails without it (holders.rs, tests/api.rs, tests/node.rs).

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -93,6 +93,11 @@
         self.0.lock().ok()?.0.get(id).cloned()
     }
 
+    /// Whether a job is known to be over.
+    pub fn holds(&self, id: &JobId) -> bool {
+        self.0.lock().is_ok_and(|finals| finals.0.contains_key(id))
+    }
+
     /// Remembers a state if it is final.
     pub fn remember(&self, told: &Told) {
         if !told.state.is_final() {
@@ -129,7 +134,7 @@
     /// The state service.
     pub stores: Stores,
     /// The other controllers.
-    pub peers: Peers,
+    pub peers: Arc<Peers>,
     /// The node's actor.
     pub node: mpsc::Sender<Ask>,
     /// Who leads.
@@ -168,6 +173,7 @@
         let limiter = Limiter::new(most as usize);
         let poll_limiter = Limiter::new(most as usize);
         let finals = Arc::default();
+        let peers = Arc::new(peers);
         Self { params, label, stores, peers, node, view, flavors, finals, limiter, poll_limiter }
     }
 
@@ -176,6 +182,16 @@
         Verdict::Known(told)
     }
 
+    /// A cancellation has become durable here. The others are told, so that a holder that can't reach the
+    /// state service knows it too: docs/safety.md, "Cancellations are facts".
+    fn cancelled(&self, told: Told) -> Verdict {
+        for name in self.peers.names() {
+            let (peers, told) = (self.peers.clone(), told.clone());
+            tokio::spawn(async move { peers.tell(&name, told).await });
+        }
+        self.known(told)
+    }
+
     /// Asks this node's actor; `None` if the node does not lead.
     async fn ask<T>(&self, make: impl FnOnce(oneshot::Sender<Option<T>>) -> Ask) -> Option<T> {
         let (reply, answer) = oneshot::channel();
@@ -278,7 +294,7 @@
         for _ in 0..2 {
             let term = self.term();
             match self.ask(|r| Ask::Withdraw(id.clone(), r)).await {
-                Some(Withdrawal::Over(status)) => return self.known(status.into()),
+                Some(Withdrawal::Over(status)) => return self.cancelled(status.into()),
                 Some(Withdrawal::Pending) => return later("the decision is not durable yet"),
                 Some(Withdrawal::NotHere) => match Self::stored(&self.stores.submissions, id).await
                 {
@@ -318,7 +334,7 @@
             apply: vec![Change::put(final_key(id), v), Change::delete(job_key(id))],
         };
         match self.stores.submissions.commit(&transaction).await {
-            Ok(CommitOutcome::Applied(_)) => self.known(record.status(id).into()),
+            Ok(CommitOutcome::Applied(_)) => self.cancelled(record.status(id).into()),
             Ok(CommitOutcome::Refused(_)) => later("the job's leader can't be reached"),
             Err(e) => Verdict::Later(e.to_string()),
         }
@@ -337,6 +353,16 @@
                 && Room::of_flavor(f).fits(&need)
         };
         let types: Vec<bool> = flavors.iter().map(allowed).collect();
+        // A gang runs all at once, so the zones that it may be in must be enough for all of it.
+        let zones = self.params.zones.iter().filter(|zone| {
+            let there = |f: &Flavor| allowed(f) && f.yards.contains(zone);
+            spec.yard.as_ref().is_none_or(|y| y == *zone) && flavors.iter().any(there)
+        });
+        let zones = if spec.together { zones.take(1).count() } else { zones.count() };
+        let room = u64::from(spec.zone_cap()) * zones as u64;
+        if spec.is_gang() && types.contains(&true) && room < u64::from(spec.pieces) {
+            return Some(Err("a gang that must spread can't be in one zone".into()));
+        }
         let least = if spec.is_gang() { spec.pieces } else { 1 };
         let limit = (team.cpus_max, team.gpus_max);
         let team = TeamView { limit, ..TeamView::default() };
@@ -428,6 +454,7 @@
                 None => Verdict::Absent,
             },
             PeerAsk::Submit(body) => self.submit(&body, true).await,
+            PeerAsk::Over(told) => self.known(told),
             PeerAsk::Renew(renewal) => {
                 return PeerAnswer::Block(self.ask(|r| Ask::Renew(renewal, r)).await);
             }
@@ -558,7 +585,7 @@
             }
         };
         match self.0.check_in(report).await {
-            CheckInReply::Answer(answer) => {
+            CheckInReply::Answer(answer, until) if tokio::time::Instant::now() < until => {
                 res.status_code(StatusCode::OK);
                 res.render(Json(answer));
             }
@@ -566,7 +593,7 @@
                 res.status_code(StatusCode::MISDIRECTED_REQUEST);
                 res.render(Json(ReportElsewhere { foreman }));
             }
-            CheckInReply::Unsure => {
+            CheckInReply::Answer(..) | CheckInReply::Unsure => {
                 unavailable(res, "not entitled to answer", constants::RETRY_AFTER_S)
             }
         }
--- a/crates/controller/src/holders.rs
+++ b/crates/controller/src/holders.rs
@@ -3,15 +3,15 @@
 //! The leader leases the block of a zone's machines to a controller in that zone. While the leader can
 //! be reached, the holder sends workers on to it. When it has not been for a while (the zone is cut off,
 //! or the leader has no lease because the state service is away), the holder answers the workers of its
-//! block under the token that they know, without commands: their leases go on and their tasks run, and
-//! nothing new is started. When the block's lease ends, it stops.
+//! block under the token that they know: their leases go on and their tasks run, nothing new is started,
+//! and only tasks of jobs that are over for good are stopped. When the block's lease ends, it stops.
 //!
 //! The leader, and any later one, must not take a task for gone while a holder may have kept its worker
 //! alive. [`Holders`] reckons this, from what holders say in each renewal and, when one is silent, from
 //! when its lease surely ends. docs/safety.md has the proof.
 
 use hookway_constants as constants;
-use hookway_wire::{CheckIn, CheckInAnswer, PieceState};
+use hookway_wire::{CheckIn, CheckInAnswer, JobId, Order, PieceReport, PieceState, TaskId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -161,6 +161,15 @@
     }
 }
 
+/// A holder's answer to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KeptAlive {
+    /// What the worker is told.
+    pub answer: CheckInAnswer,
+    /// It may go out before this moment only, ms.
+    pub until: u64,
+}
+
 #[derive(Debug, Clone)]
 struct Grant {
     term: u64,
@@ -235,7 +244,15 @@
     /// The answer that keeps a worker of this block alive while the leader can't be reached; `None` if
     /// this node may not give one, or need not: a worker without tasks has nothing to lose, and shall go
     /// on looking for the leader.
-    pub fn keep(&mut self, report: &CheckIn, now: u64) -> Option<CheckInAnswer> {
+    ///
+    /// `over` tells whether a job is durably over. That is a fact, whoever tells it: nobody will ever want
+    /// its tasks again, so stopping them needs no right beyond the one to answer.
+    pub fn keep(
+        &mut self,
+        report: &CheckIn,
+        now: u64,
+        over: impl Fn(&JobId) -> bool,
+    ) -> Option<KeptAlive> {
         let grant = self.grant.as_ref().filter(|g| now < g.until)?;
         let late = now >= self.contact + self.patience_ms;
         let mine = grant.zones.contains(&report.yard);
@@ -246,7 +263,16 @@
             return None;
         }
         self.answered = Some(now);
-        Some(CheckInAnswer { baton: report.baton.max(grant.term), orders: vec![] })
+        let ended = |p: &&PieceReport| p.status == PieceState::Ended;
+        let useless = |p: &&PieceReport| TaskId::parse(&p.piece).is_some_and(|t| over(&t.job));
+        let stop = |p: &PieceReport| Order::Kill {
+            piece: p.piece.clone(),
+            r#try: p.r#try,
+            wind_down_s: 0.0,
+        };
+        let orders = report.pieces.iter().filter(|p| !ended(p) && useless(p)).map(stop).collect();
+        let answer = CheckInAnswer { baton: report.baton.max(grant.term), orders };
+        Some(KeptAlive { answer, until: grant.until })
     }
 }
 
@@ -305,7 +331,7 @@
         }
         assert!(holders.lease_over("b", 59_000 - WORKER - 1_000, WORKER, 59_000));
         assert!(!holders.lease_over("b", 59_000 - WORKER + 1, WORKER, 59_000));
-        assert_eq!(holding.keep(&report("b", 5), 59_500), None, "the leader is there");
+        assert_eq!(holding.keep(&report("b", 5), 59_500, |_| false), None, "the leader is there");
     }
 
     #[test]
@@ -315,16 +341,23 @@
             exchange(&mut holders, &mut holding, now);
         }
         assert_eq!(
-            holding.keep(&report("b", 7), 5_000),
+            holding.keep(&report("b", 7), 5_000, |_| false),
             None,
             "a change of leader may be under way"
         );
-        assert_eq!(holding.keep(&report("b", 7), 11_000).map(|a| a.baton), Some(7));
-        assert_eq!(holding.keep(&report("c", 7), 11_000), None, "not of its block");
+        assert_eq!(
+            holding.keep(&report("b", 7), 11_000, |_| false).map(|k| k.answer.baton),
+            Some(7)
+        );
+        assert_eq!(holding.keep(&report("c", 7), 11_000, |_| false), None, "not of its block");
         let later = 5 + constants::TOKENS_PER_TERM;
-        assert_eq!(holding.keep(&report("b", later), 11_000), None, "a later leader commands it");
-        assert!(holding.keep(&report("b", 7), 31_900).is_some());
-        assert_eq!(holding.keep(&report("b", 7), 32_000), None, "its lease is over");
+        assert_eq!(
+            holding.keep(&report("b", later), 11_000, |_| false),
+            None,
+            "a later leader commands it"
+        );
+        assert!(holding.keep(&report("b", 7), 31_900, |_| false).is_some());
+        assert_eq!(holding.keep(&report("b", 7), 32_000, |_| false), None, "its lease is over");
         // The leader heard the worker last at 1 s, and the holder at 2 s.
         assert!(!holders.lease_over("b", 1_000, WORKER, 32_000 + WORKER));
         assert!(holders.lease_over("b", 1_000, WORKER, 32_100 + WORKER));
@@ -334,6 +367,25 @@
         assert!(!holders.lease_over("b", 1_000, WORKER, 31_900 + WORKER - 1));
     }
 
+    /// A cancellation is a fact: a holder that has heard of it stops the tasks, whatever became of the leader;
+    /// and the answer says until when it may go out.
+    #[test]
+    fn a_holder_stops_what_is_durably_over_and_starts_nothing() {
+        let (mut holders, mut holding) = (holders(0), Holding::new("one", 1, 8_000));
+        exchange(&mut holders, &mut holding, 1_000);
+        exchange(&mut holders, &mut holding, 2_000);
+        let mut report = report("b", 7);
+        let mut other = report.pieces[0].clone();
+        other.piece = "req-000002/4".into();
+        let ended = PieceReport { status: PieceState::Ended, r#try: 9, ..report.pieces[0].clone() };
+        report.pieces.extend([other, ended]);
+        let over = |id: &JobId| id.as_str() == "req-000001";
+        let kept = holding.keep(&report, 15_000, over).unwrap();
+        let stop = Order::Kill { piece: "req-000001/0".into(), r#try: 1, wind_down_s: 0.0 };
+        assert_eq!((kept.answer.baton, kept.answer.orders), (7, vec![stop]));
+        assert_eq!(kept.until, 2_000 + LEASE - drift(LEASE));
+    }
+
     #[test]
     fn a_new_leader_reckons_with_leases_of_earlier_ones_until_their_holders_have_dropped_them() {
         let mut holders = holders(100_000);
@@ -347,9 +399,13 @@
         assert!(!holders.lease_over("d", 100_000, WORKER, 100_000 + WORKER), "no controller in it");
         let mut holding = Holding::new("one", 1, 8_000);
         holding.lead(1, vec!["b".into()], LEASE, 90_000);
-        assert!(holding.keep(&report("b", 1), 99_000).is_some());
+        assert!(holding.keep(&report("b", 1), 99_000, |_| false).is_some());
         exchange(&mut holders, &mut holding, 101_000);
-        assert_eq!(holding.keep(&report("b", 1), 115_000), None, "dropped with the news");
+        assert_eq!(
+            holding.keep(&report("b", 1), 115_000, |_| false),
+            None,
+            "dropped with the news"
+        );
         exchange(&mut holders, &mut holding, 102_000);
         for now in (103_000..125_000).step_by(1_000) {
             exchange(&mut holders, &mut holding, now);
@@ -365,7 +421,7 @@
             exchange(&mut holders, &mut holding, now);
         }
         let late = holding.renewal(3_500);
-        assert!(holding.keep(&report("b", 5), 20_000).is_some());
+        assert!(holding.keep(&report("b", 5), 20_000, |_| false).is_some());
         // Copies from before, long after: neither ends the lease nor vouches for the time since.
         for copy in [&first, &late] {
             holders.renew(5, copy, LEASE, 30_000);
@@ -383,7 +439,7 @@
         let lease = holders.renew(5, &next.renewal(2_500), LEASE, 38_000).unwrap();
         next.leased(lease, 2_500, 2_500);
         holders.renew(5, &gone, LEASE, 39_000);
-        assert!(next.keep(&report("b", 5), 30_000).is_some());
+        assert!(next.keep(&report("b", 5), 30_000, |_| false).is_some());
         assert!(
             !holders.lease_over("b", 1_000, WORKER, 38_000 + LEASE),
             "it still holds its block"
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -80,6 +80,11 @@
         self.0.lock().is_ok_and(|lease| lease.0 == term && now < lease.1)
     }
 
+    /// Until when this node may act as the leader of `term`, as far as is known now, ms.
+    pub fn until(&self, term: u64) -> u64 {
+        self.0.lock().map_or(0, |lease| if lease.0 == term { lease.1 } else { 0 })
+    }
+
     fn set(&self, term: u64, until: u64) {
         if let Ok(mut lease) = self.0.lock() {
             *lease = (term, until);
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 /// What is asked of the node. `None` in a reply: this node does not lead.
 #[derive(Debug)]
@@ -43,8 +44,9 @@
 /// The answer to a report.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CheckInReply {
-    /// Commands.
-    Answer(CheckInAnswer),
+    /// Commands. They may go out before this moment only: a process can stand still between the decision
+    /// and the answer, and another controller may be entitled by then.
+    Answer(CheckInAnswer, Instant),
     /// This node does not lead; that one does, if known.
     Elsewhere(Option<String>),
     /// Not entitled, or the report is old.
@@ -61,6 +63,8 @@
     Listed(Vec<ListedHost>, u64),
     Delivered(String, u64, Delivery),
     Greeted(String, Option<CheckIn>),
+    /// The state service does not answer, or refuses: what waits for a write waits for long.
+    StoreAway,
     Reload,
 }
 
@@ -134,11 +138,10 @@
     fn not_leading(&self, ask: Ask) {
         match ask {
             Ask::CheckIn(report, reply) => {
-                let kept = self.holding.borrow_mut().keep(&report, self.clock.now());
                 let leader = self.view.borrow().leader.clone();
                 let other = leader.filter(|l| *l != self.setup.label);
-                let _ =
-                    reply.send(kept.map_or(CheckInReply::Elsewhere(other), CheckInReply::Answer));
+                let kept = self.keep_alive(&report, self.clock.now());
+                let _ = reply.send(kept.unwrap_or(CheckInReply::Elsewhere(other)));
             }
             Ask::Status(_, reply) => drop(reply.send(None)),
             Ask::Withdraw(_, reply) => drop(reply.send(None)),
@@ -154,6 +157,18 @@
         }
     }
 
+    /// A moment of this node's clock.
+    fn moment(&self, at: u64) -> Instant {
+        let now = Instant::now();
+        now + Duration::from_millis(at.saturating_sub(self.clock.now()))
+    }
+
+    /// The answer of this node as the holder of a block, if it may and should give one.
+    fn keep_alive(&self, report: &CheckIn, now: u64) -> Option<CheckInReply> {
+        let kept = self.holding.borrow_mut().keep(report, now, |id| self.finals.holds(id))?;
+        Some(CheckInReply::Answer(kept.answer, self.moment(kept.until)))
+    }
+
     async fn lead(&mut self, mandate: Mandate) {
         self.holding.borrow_mut().won(mandate.term);
         let (notes, mut inbox) = mpsc::channel(constants::MAILBOX);
@@ -266,13 +281,13 @@
         let Some(ledger) = term.ledger.as_mut().filter(|_| entitled) else {
             match ask {
                 Ask::CheckIn(report, reply) => {
-                    let kept = self.holding.borrow_mut().keep(&report, now);
+                    let kept = self.keep_alive(&report, now);
                     if kept.is_some()
                         && let Some(ledger) = &mut term.ledger
                     {
                         ledger.kept_alive(&report.host, now);
                     }
-                    let _ = reply.send(kept.map_or(CheckInReply::Unsure, CheckInReply::Answer));
+                    let _ = reply.send(kept.unwrap_or(CheckInReply::Unsure));
                 }
                 Ask::Renewal(reply) => drop(reply.send(None)),
                 Ask::Leased(..) => {}
@@ -282,8 +297,10 @@
         };
         match ask {
             Ask::CheckIn(report, reply) => {
+                let until = self.moment(self.validity.until(term.mandate.term));
                 let answer = ledger.check_in(&report, now);
-                let _ = reply.send(answer.map_or(CheckInReply::Unsure, CheckInReply::Answer));
+                let _ = reply
+                    .send(answer.map_or(CheckInReply::Unsure, |a| CheckInReply::Answer(a, until)));
                 self.flush(term);
             }
             Ask::Status(id, reply) => drop(reply.send(Some(ledger.status(&id)))),
@@ -329,6 +346,14 @@
                     ledger.job_seen(&key, value, at, false);
                 }
             }
+            Note::StoreAway => {
+                // They are told at once when to come back; the decisions stay in the queue.
+                for (_, replies) in term.waiting.drain() {
+                    for reply in replies {
+                        let _ = reply.send(Some(Withdrawal::Pending));
+                    }
+                }
+            }
             Note::Reload => tracing::info!("the watch fell behind, reading the jobs again"),
             Note::Committed(commit, result) => {
                 let Some(ledger) = &mut term.ledger else { return };
@@ -437,7 +462,8 @@
         let Some(commit) = ledger.next_commit(now) else { return };
         let (store, notes) = (self.store.clone(), term.notes.clone());
         term.helpers.spawn(async move {
-            let result = carry_out(&store, &commit).await;
+            let away = || drop(notes.try_send(Note::StoreAway));
+            let result = carry_out(&store, &commit, away).await;
             let _ = notes.send(Note::Committed(commit, result)).await;
         });
     }
@@ -587,10 +613,16 @@
 
 /// Commits; if the outcome is anything but plain, reads the keys again, since a lost answer says
 /// nothing about what was done.
-async fn carry_out(store: &StoreClient, commit: &Commit) -> CommitResult {
+///
+/// `away` is called when the state service turns out not to be there for this node.
+async fn carry_out(store: &StoreClient, commit: &Commit, away: impl Fn()) -> CommitResult {
     match store.commit(&commit.transaction).await {
         Ok(CommitOutcome::Applied(epoch)) => return CommitResult::Applied(epoch),
-        Err(StoreError::Unavailable | StoreError::TooMany) => return CommitResult::NotDone,
+        Err(StoreError::Unavailable) => {
+            away();
+            return CommitResult::NotDone;
+        }
+        Err(StoreError::TooMany) => return CommitResult::NotDone,
         Ok(CommitOutcome::Refused(keys)) => tracing::info!("transaction refused: {keys:?}"),
         Err(e) => tracing::info!("transaction unclear: {e}"),
     }
@@ -604,6 +636,9 @@
                 }
                 Err(e) => {
                     tracing::debug!("reading {key} again: {e}");
+                    if !matches!(e, StoreError::TooMany) {
+                        away();
+                    }
                     pause(constants::LEADER_RETRY_MS).await;
                 }
             }
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -1,7 +1,7 @@
 //! The link between controllers: length-prefixed bincode over TCP. A node that is asked something
 //! by a user that only the leader knows, or that can't reach the state service itself, asks here.
 
-use crate::api::{Desk, Verdict};
+use crate::api::{Desk, Told, Verdict};
 use crate::holders::{BlockLease, Renewal};
 use hookway_constants as constants;
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,8 @@
     Submit(Vec<u8>),
     /// Lease the asker's block to it.
     Renew(Renewal),
+    /// A job is over, and that is durable.
+    Over(Told),
 }
 
 /// The answer.
@@ -121,6 +123,13 @@
         }
     }
 
+    /// Tells another controller that a job is over. Nothing depends on whether it hears it.
+    pub async fn tell(&self, name: &str, told: Told) {
+        if let Err(e) = self.ask(name, &PeerAsk::Over(told), constants::PEER_TIMEOUT_MS).await {
+            tracing::debug!("telling {name} of a job's end: {e}");
+        }
+    }
+
     /// Asks the leader for this node's block.
     pub async fn renew(&self, name: &str, renewal: Renewal) -> Result<BlockLease, PeerError> {
         let ask = PeerAsk::Renew(renewal);
--- a/crates/controller/tests/api.rs
+++ b/crates/controller/tests/api.rs
@@ -17,7 +17,9 @@
 use salvo::test::{ResponseExt, TestClient};
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 const JOB: &str = r#"{"NameId":"req-000412","Lane":"train","Owner":"vision","Shape":"group","Rank":"high",
  "Pieces":4,"Vcpus":8.0,"Gpus":0,"RamGb":64.0,"Bundle":"img-07","ImageGb":6.2,"Flavors":["g8"],"Yard":null,
@@ -27,6 +29,8 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Node {
     Leads,
+    /// The lease ran out after it decided.
+    LedOnce,
     Follows,
 }
 
@@ -68,7 +72,9 @@
                 Ask::CheckIn(_, reply) => {
                     let answer = CheckInAnswer { baton: 7, orders: vec![] };
                     let _ = reply.send(if leads {
-                        CheckInReply::Answer(answer)
+                        CheckInReply::Answer(answer, Instant::now() + Duration::from_secs(60))
+                    } else if node == Node::LedOnce {
+                        CheckInReply::Answer(answer, Instant::now())
                     } else {
                         CheckInReply::Elsewhere(Some("worker-2".into()))
                     });
@@ -202,6 +208,41 @@
     assert_eq!(get(&api, "/up").await.0, StatusCode::OK);
 }
 
+/// A gang runs all at once: where its zones can't hold that, it can never run, and must not be accepted.
+#[tokio::test]
+async fn a_gang_that_its_zones_can_never_hold_gets_422() {
+    let api = api(Node::Leads, true);
+    let spread = JOB.replace("\"Spread\":false", "\"Spread\":true");
+    let apart = spread.replace("\"Together\":true", "\"Together\":false");
+    // It fits zone a alone.
+    for body in [&spread, &apart, &apart.replace("\"Yard\":null", "\"Yard\":\"a\"")] {
+        let (status, text, retry) = post(&api, "/api/jobs", body).await;
+        // Whether it was accepted before can't be told without the state service.
+        assert_eq!((status, retry), (StatusCode::SERVICE_UNAVAILABLE, true), "{text}");
+    }
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let api = api_at(Node::Leads, true, View::default(), Some(&address));
+    for body in [&spread, &apart, &apart.replace("\"Yard\":null", "\"Yard\":\"a\"")] {
+        let (status, text, _) = post(&api, "/api/jobs", body).await;
+        assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "{text}");
+        assert!(reason(&text).contains("spread"), "{text}");
+    }
+    let one = spread.replace("\"Pieces\":4", "\"Pieces\":1");
+    assert_eq!(post(&api, "/api/jobs", &one).await.0, StatusCode::CREATED);
+}
+
+/// A process stands still between the decision and the answer: the right may be another controller's by then.
+#[tokio::test]
+async fn an_answer_to_a_worker_is_not_sent_once_the_right_to_it_may_be_over() {
+    let report = r#"{"Host":"m-1","Addr":"127.0.0.1:9","Flavor":"g8","Yard":"a","Loaners":false,
+        "Tenure":1,"Tick":1,"Baton":1,"EvictionS":null,"Pieces":[]}"#;
+    let late = service(desk(Node::LedOnce, true, View::default(), None, 2000.0));
+    let (status, _, retry) = post(&late, "/checkin", report).await;
+    assert_eq!((status, retry), (StatusCode::SERVICE_UNAVAILABLE, true));
+    assert_eq!(post(&api(Node::Leads, true), "/checkin", report).await.0, StatusCode::OK);
+}
+
 #[tokio::test]
 async fn workers_are_answered_by_the_leader_and_sent_on_by_others() {
     let report = r#"{"Host":"m-1","Addr":"127.0.0.1:9000","Flavor":"g8","Yard":"a","Loaners":true,
--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -461,7 +461,8 @@
                 let Some(leader) = self.leader.as_mut().filter(|_| !blocked) else { return };
                 if now < leader.doubt_until {
                     let node = &mut self.siblings[leader.node];
-                    if let Some(answer) = node.holding.keep(&report, now - node.begun) {
+                    if let Some(answer) = node.holding.keep(&report, now - node.begun, |_| false) {
+                        let answer = answer.answer;
                         leader.ledger.kept_alive(&report.host, now);
                         self.send(|| Message::Answer(m, report.tick, answer.clone(), false));
                     }
@@ -477,7 +478,9 @@
                 if self.leader.as_ref().is_some_and(|l| l.node == n) {
                     return;
                 }
-                if let Some(answer) = sibling.holding.keep(&report, now - sibling.begun) {
+                if let Some(answer) = sibling.holding.keep(&report, now - sibling.begun, |_| false)
+                {
+                    let answer = answer.answer;
                     sibling.kept += 1;
                     self.send(|| Message::Answer(m, report.tick, answer.clone(), true));
                 }
--- /dev/null
+++ b/crates/controller/tests/node.rs
@@ -0,0 +1,171 @@
+//! Whole nodes (leadership, ledger and desk) against a state service on loopback. The tests wait for events;
+//! a time limit only tells a test that would wait for ever.
+#![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
+
+use hookway_clients::{CloudClient, StoreClient, WorkerClient};
+use hookway_controller::api::{Desk, Stores, Verdict};
+use hookway_controller::config::{OperatorSettings, Settings};
+use hookway_controller::holders::Holding;
+use hookway_controller::lead::{Clock, Leadership, Validity, View};
+use hookway_controller::ledger::Setup;
+use hookway_controller::node::Node;
+use hookway_controller::peers::{self, Peers};
+use hookway_controller::records::final_key;
+use hookway_testkit::{SETTINGS, StoreServer, flavors};
+use hookway_wire::{JobId, JobState};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::LocalSet;
+
+const JOB: &str = r#"{"NameId":"req-000412","Lane":"train","Owner":"vision","Shape":"array","Rank":"high",
+ "Pieces":4,"Vcpus":2.0,"Gpus":0,"RamGb":4.0,"Bundle":"img-07","ImageGb":6.2,"Together":false,
+ "Spread":false,"Loaners":true,"GuessS":240.0,"SnapshotEveryS":0,"SnapshotS":0}"#;
+
+/// Nobody listens there.
+const NOWHERE: &str = "127.0.0.1:1";
+
+/// A running controller.
+struct Controller {
+    desk: Arc<Desk>,
+    view: watch::Receiver<View>,
+}
+
+/// Starts a controller; `stands`: it seeks the leadership.
+async fn start(label: &str, store: &str, siblings: &[(&str, &str)], stands: bool) -> Controller {
+    let settings = Settings::parse(SETTINGS).expect("sound settings");
+    let client = || StoreClient::new(store, 1_000.0);
+    let (view_tx, view) = watch::channel(View::default());
+    let (flavors_tx, flavors_rx) = watch::channel(Some(Arc::new(flavors())));
+    let (node_tx, asks) = mpsc::channel(64);
+    let (validity, doubt) = (Arc::new(Validity::default()), Arc::new(Notify::new()));
+    let clock = Clock::default();
+    let addresses: HashMap<String, String> =
+        siblings.iter().map(|(l, a)| ((*l).to_owned(), (*a).to_owned())).collect();
+    let stores = Stores { submissions: client(), questions: client() };
+    let desk = Arc::new(Desk::new(
+        settings.settings.clone(),
+        label.into(),
+        stores,
+        Peers::new(addresses),
+        node_tx,
+        view.clone(),
+        flavors_rx.clone(),
+    ));
+    let node = Node {
+        setup: Setup {
+            label: label.into(),
+            domain: "a".into(),
+            siblings: siblings.iter().map(|(l, _)| ((*l).to_owned(), "b".to_owned())).collect(),
+            params: settings.settings,
+            operator: OperatorSettings::default(),
+        },
+        store: client(),
+        cloud: CloudClient::new(NOWHERE, 100.0),
+        workers: WorkerClient::default(),
+        clock,
+        validity: validity.clone(),
+        view: view.clone(),
+        doubt: doubt.clone(),
+        flavors: flavors_rx,
+        asks,
+        finals: desk.finals.clone(),
+        deserted_at: std::cell::Cell::new(None),
+        holding: std::cell::RefCell::new(Holding::new(label, 1, 1_000)),
+    };
+    tokio::task::spawn_local(async move {
+        node.run().await;
+        drop(flavors_tx);
+    });
+    if stands {
+        let leadership = Leadership {
+            label: label.into(),
+            store: client(),
+            clock,
+            validity,
+            view: view_tx,
+            doubt,
+        };
+        tokio::spawn(leadership.run());
+    } else {
+        std::mem::forget(view_tx);
+    }
+    Controller { desk, view }
+}
+
+async fn within<T>(work: impl Future<Output = T>) -> T {
+    tokio::time::timeout(Duration::from_secs(20), work).await.expect("no answer at all")
+}
+
+/// Accepts the job and waits until the leader knows it.
+async fn accepted(one: &mut Controller) -> JobId {
+    one.view.wait_for(|v| v.mandate.is_some()).await.expect("the actor lives");
+    let verdict = one.desk.submit(JOB.as_bytes(), false).await;
+    assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+    let id = JobId::parse("req-000412").expect("an id");
+    while !matches!(one.desk.status(&id, true).await, Verdict::Known(_)) {
+        tokio::task::yield_now().await;
+    }
+    id
+}
+
+/// What can't be decided now is answered at once, not held until the state service is back: the user's
+/// request waited for its time limit during each outage.
+#[tokio::test]
+async fn a_cancellation_that_can_not_become_durable_is_answered_at_once() {
+    let work = async {
+        let server = StoreServer::default();
+        let address = server.start().await.expect("a free port");
+        let mut one = start("one", &address, &[], true).await;
+        let id = accepted(&mut one).await;
+        server.refuse(true);
+        let verdict = within(one.desk.withdraw(&id, false)).await;
+        assert!(matches!(verdict, Verdict::Later(_)), "{verdict:?}");
+        assert!(server.with(|store| store.get(&final_key(&id))).is_none());
+        server.refuse(false);
+        // The decision stayed in the queue; whoever asks again hears of it.
+        let told = within(async {
+            loop {
+                if let Verdict::Known(told) = one.desk.withdraw(&id, false).await {
+                    break told;
+                }
+            }
+        })
+        .await;
+        assert_eq!(told.state, JobState::Withdrawn);
+    };
+    LocalSet::new().run_until(work).await;
+}
+
+/// Cancellations are facts: whoever makes one durable tells the others, so that a holder that can't reach the
+/// state service stops the job's tasks.
+#[tokio::test]
+async fn a_durable_cancellation_is_told_to_the_other_controllers() {
+    let work = async {
+        let server = StoreServer::default();
+        let address = server.start().await.expect("a free port");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let there = listener.local_addr().expect("bound").to_string();
+        // The other one is refused by the state service.
+        let two = start("two", NOWHERE, &[], false).await;
+        tokio::spawn(peers::serve(listener, two.desk.clone()));
+        let mut one = start("one", &address, &[("two", &there)], true).await;
+        let id = accepted(&mut one).await;
+        assert!(!two.desk.finals.holds(&id));
+        let verdict = within(one.desk.withdraw(&id, false)).await;
+        assert!(matches!(verdict, Verdict::Known(_)), "{verdict:?}");
+        within(async {
+            while !two.desk.finals.holds(&id) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+        let Verdict::Known(told) = two.desk.status(&id, false).await else {
+            panic!("it knows the end without the state service")
+        };
+        assert_eq!(told.state, JobState::Withdrawn);
+    };
+    LocalSet::new().run_until(work).await;
+}
