--- a/crates/controller/src/ledger/commit.rs
+++ b/crates/controller/src/ledger/commit.rs
@@ -408,7 +408,9 @@
                     if let Item::Final(key, _) = &item
                         && let Some(job) = self.jobs.get_mut(key)
                     {
-                        job.deciding = false;
+                        // This one was not carried out; an earlier one without an answer still may be, and
+                        // other controllers then tell the end that they read.
+                        job.deciding = job.in_doubt;
                     }
                     self.again(item);
                 }
@@ -426,6 +428,11 @@
                     self.learn(&key, value);
                 }
                 for item in commit.items {
+                    if let Item::Final(key, _) = &item
+                        && let Some(job) = self.jobs.get_mut(key)
+                    {
+                        job.in_doubt = true;
+                    }
                     self.again(item);
                 }
             }
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -122,6 +122,8 @@
     pub ending: Option<JobState>,
     /// The end is being written, or whether it was written is not known.
     pub deciding: bool,
+    /// Some transaction with its end had no answer: it may be carried out at any time.
+    pub in_doubt: bool,
     /// It is over, and that is durable.
     pub over: Option<FinalRecord>,
     /// No start before this time, ms.
@@ -196,6 +198,7 @@
             broken: false,
             ending: None,
             deciding: false,
+            in_doubt: false,
             over: None,
             pause_until: 0,
             errors: 0,
--- a/crates/controller/tests/meetings.rs
+++ b/crates/controller/tests/meetings.rs
@@ -4,10 +4,10 @@
 
 mod play;
 
-use hookway_controller::ledger::lease_over_ms;
+use hookway_controller::ledger::{CommitResult, Lookup, Withdrawal, lease_over_ms};
 use hookway_controller::records::minimum_key;
 use hookway_testkit::ScriptedWorker;
-use hookway_wire::{Cause, JobId};
+use hookway_wire::{Cause, JobId, JobState};
 use play::{Play, job, setup, small};
 
 /// Machines of both zones with a task each, of a job that is bound to zones in some way.
@@ -101,3 +101,41 @@
     next.wait(1_000);
     assert!(next.store.get(&minimum_key(&id)).is_some(), "a later version may read it");
 }
+
+/// Found by the model, on 2026-12-02: a transaction with a job's end had no answer; the next one was refused
+/// by the state service, and the leader told the job's state from memory again; then the first one was
+/// carried out, and other controllers told the end that they read.
+#[test]
+fn an_end_that_may_still_be_carried_out_is_not_told_from_memory() {
+    let mut play = Play::start();
+    let mut worker = small("m-1", "a");
+    let id = play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut worker]);
+    let withdrawn = play.ledger.withdraw(&id);
+    assert_eq!(withdrawn, Withdrawal::Pending);
+    let first = play.ledger.next_commit(play.now).expect("the end");
+    let late = first.transaction.clone();
+    let read = first.keys().into_iter().map(|k| (k.clone(), play.store.get(&k))).collect();
+    play.ledger.committed(first, CommitResult::Unsure(read), play.now);
+    assert_eq!(play.ledger.status(&id), Lookup::Deciding);
+    let second = play.ledger.next_commit(play.now).expect("once more");
+    play.ledger.committed(second, CommitResult::NotDone, play.now);
+    play.store.commit(&late).expect("carried out late");
+    assert_eq!(play.ledger.status(&id), Lookup::Deciding, "the store must be asked");
+    play.now += 1_000;
+    play.flush();
+    assert_eq!(play.state(&id), JobState::Withdrawn);
+}
+
+/// The guard against too much of it: what was surely not carried out is told from memory.
+#[test]
+fn an_end_that_was_surely_not_written_leaves_the_state_in_memory() {
+    let mut play = Play::start();
+    let mut worker = small("m-1", "a");
+    let id = play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut worker]);
+    play.ledger.withdraw(&id);
+    let commit = play.ledger.next_commit(play.now).expect("the end");
+    play.ledger.committed(commit, CommitResult::NotDone, play.now);
+    assert_eq!(play.state(&id), JobState::Running);
+}
--- /dev/null
+++ b/crates/controller/tests/world/machines.rs
@@ -0,0 +1,321 @@
+//! Machines with their workers and tasks, and the rules at each start.
+
+use super::{CALM_AT, Message, NODES, PATIENCE, REPORT_EVERY, Reply, World, long, mistaken};
+use hookway_clients::Delivery;
+use hookway_testkit::ScriptedWorker;
+use hookway_wire::{Cause, DirectOrders};
+use rand::RngExt;
+use std::collections::BTreeMap;
+
+pub(super) struct Machine {
+    pub worker: ScriptedWorker,
+    pub name: String,
+    pub born: u64,
+    /// When the report was sent whose answer came last.
+    lease_from: u64,
+    in_flight: Option<(u64, u64)>,
+    next_report: u64,
+    /// The controller that it reports to.
+    node: usize,
+    pub cut_until: u64,
+    deaf_until: u64,
+    /// It reaches nobody, while direct commands reach it.
+    mute_until: u64,
+    /// It stands still.
+    hung_until: u64,
+    pub dead: bool,
+    since: BTreeMap<String, u64>,
+}
+
+impl Machine {
+    pub fn new(n: usize, now: u64) -> Self {
+        let name = format!("m-{n}");
+        Self {
+            worker: ScriptedWorker::new(
+                &name,
+                "small",
+                if n.is_multiple_of(2) { "a" } else { "b" },
+            ),
+            name,
+            born: now,
+            lease_from: now,
+            in_flight: None,
+            next_report: now,
+            node: n % NODES.len(),
+            cut_until: 0,
+            deaf_until: 0,
+            mute_until: 0,
+            hung_until: 0,
+            dead: false,
+            since: BTreeMap::new(),
+        }
+    }
+}
+
+impl World {
+    fn lease_ms(&self) -> u64 {
+        (self.controllers[0].setup.params.workers.lease_s * 1000.0) as u64
+    }
+
+    /// A worker whose lease ran out forgets everything before it does anything else.
+    fn expire(&mut self, m: usize) {
+        let (now, lease) = (self.now, self.lease_ms());
+        let machine = &mut self.machines[m];
+        if now > machine.lease_from + lease {
+            machine.worker.expire();
+            machine.lease_from = now;
+            machine.in_flight = None;
+            machine.since.clear();
+        }
+    }
+
+    pub(super) fn answer_arrives(&mut self, m: usize, n: usize, tick: u64, reply: Reply) {
+        let now = self.now;
+        let linked = self.worker_linked(n, m);
+        let machine = &self.machines[m];
+        let open =
+            linked && now >= machine.deaf_until && !machine.dead && now >= machine.hung_until;
+        let Some((expected, sent)) = machine.in_flight.filter(|_| open) else { return };
+        if expected != tick || now > sent + PATIENCE {
+            return;
+        }
+        let soon = self.span(0, 500);
+        let machine = &mut self.machines[m];
+        machine.in_flight = None;
+        match reply {
+            Reply::Answer(answer) => {
+                let before = machine.worker.started.len();
+                if machine.worker.take(&answer) {
+                    machine.lease_from = sent;
+                    if !answer.orders.is_empty() {
+                        machine.next_report = machine.next_report.min(now + 500);
+                    }
+                }
+                self.check_starts(m, before);
+            }
+            Reply::Elsewhere(Some(other)) if other != n => {
+                machine.node = other;
+                machine.next_report = now + soon;
+            }
+            Reply::Elsewhere(_) | Reply::Unsure => {
+                machine.node = (n + 1) % NODES.len();
+                machine.next_report = now + 1_000;
+            }
+        }
+    }
+
+    pub(super) fn direct_arrives(&mut self, n: usize, term: u64, m: usize, orders: DirectOrders) {
+        let now = self.now;
+        let linked = self.worker_linked(n, m);
+        let machine = &self.machines[m];
+        if !linked || now < machine.deaf_until || machine.dead {
+            return;
+        }
+        if now < machine.hung_until {
+            // It is carried out when the machine goes on, if it still may be.
+            let at = machine.hung_until + 100;
+            return self.at(at, Message::Direct(n, term, m, orders));
+        }
+        self.expire(m);
+        let machine = &mut self.machines[m];
+        let before = machine.worker.started.len();
+        let report = machine.worker.orders(&orders);
+        let name = machine.name.clone();
+        self.check_starts(m, before);
+        if term > 0 {
+            let delivery = report.map_or(Delivery::Refused, Delivery::Done);
+            let delay = self.span(5, 50);
+            let reply = Message::Delivered(n, term, name, orders.baton, delivery);
+            self.at(now + delay, reply);
+        }
+    }
+
+    pub(super) fn greeting_arrives(&mut self, n: usize, term: u64, m: usize) {
+        let now = self.now;
+        let linked = self.worker_linked(n, m);
+        let machine = &self.machines[m];
+        if !linked || now < machine.deaf_until || machine.dead || now < machine.hung_until {
+            return;
+        }
+        self.expire(m);
+        let machine = &mut self.machines[m];
+        // It is asked again under the session that its refusal names.
+        let tenure = machine.worker.session();
+        let hello = DirectOrders { baton: term, tenure, orders: vec![] };
+        let report = machine.worker.orders(&hello);
+        let name = machine.name.clone();
+        self.send(|| Message::Greeted(n, term, name.clone(), report.clone()));
+    }
+
+    /// The rules, at each start.
+    fn check_starts(&mut self, m: usize, before: usize) {
+        let started = self.machines[m].worker.started[before..].to_vec();
+        for (task, attempt) in started {
+            self.counts.starts += 1;
+            let earlier = &self.machines[m].worker.started[..before];
+            let again = earlier.iter().any(|(t, a)| *t == task && *a == attempt);
+            assert!(!again, "{task} attempt {attempt} starts a second time on m-{}", m + 1);
+            for (other, machine) in self.machines.iter().enumerate() {
+                let twice = other != m && !machine.dead && machine.worker.live().contains(&task);
+                assert!(!twice, "{task} starts on m-{} while on m-{}", m + 1, other + 1);
+            }
+            let same = self.machines[m].worker.live().iter().filter(|t| **t == task).count();
+            assert!(same <= 1, "{task} is on one machine twice");
+            self.check_bounds(m, &task);
+            self.machines[m].since.insert(task, self.now);
+        }
+    }
+
+    /// Zones and teams' limits.
+    fn check_bounds(&mut self, m: usize, task: &str) {
+        let (id, _) = task.split_once('/').expect("a task");
+        let spec = self.jobs.iter().find(|j| j.name_id.as_str() == id).expect("a job").clone();
+        let here = self.machines[m].worker.zone().to_owned();
+        let mut live: Vec<(String, String)> = Vec::new();
+        for machine in self.machines.iter().filter(|m| !m.dead) {
+            let zone = machine.worker.zone();
+            live.extend(machine.worker.live().into_iter().map(|t| (t, zone.to_owned())));
+        }
+        let of_job = |t: &str| t.split_once('/').is_some_and(|(j, _)| j == id);
+        if spec.together || spec.spread {
+            self.counts.bound_starts += 1;
+            let of_job: Vec<&(String, String)> = live.iter().filter(|(t, _)| of_job(t)).collect();
+            let apart = of_job.iter().any(|(_, z)| *z != here);
+            assert!(!(spec.together && apart), "{task} starts in {here}, others are elsewhere");
+            let near = of_job.iter().filter(|(_, z)| *z == here).count();
+            let cap = spec.zone_cap() as usize;
+            assert!(!spec.spread || near <= cap, "{task}: {near} of {cap} in {here}");
+        }
+        if spec.owner == "tight" {
+            self.counts.tight_starts += 1;
+            let tight = |t: &str| {
+                let id = t.split_once('/').map(|(j, _)| j).unwrap_or_default();
+                self.jobs.iter().any(|j| j.name_id.as_str() == id && j.owner == "tight")
+            };
+            let used = live.iter().filter(|(t, _)| tight(t)).count();
+            assert!(used <= 4, "{task}: its team has {used} tasks, and a limit of 4");
+        }
+    }
+
+    /// Troubles of one machine.
+    fn strike(&mut self, m: usize) {
+        if !self.chance(3) {
+            return;
+        }
+        let until = self.now + self.span(1_000, 45_000);
+        let kind = self.rng.random_range(0..4);
+        let machine = &mut self.machines[m];
+        match kind {
+            0 => machine.cut_until = until,
+            1 => machine.deaf_until = until,
+            2 => machine.mute_until = until,
+            _ => machine.hung_until = until,
+        }
+    }
+
+    pub(super) fn run_machine(&mut self, m: usize) {
+        let now = self.now;
+        if self.machines[m].dead {
+            return;
+        }
+        self.strike(m);
+        let bad_luck = self.chance(30);
+        let machine = &mut self.machines[m];
+        if now >= CALM_AT {
+            (machine.cut_until, machine.deaf_until) = (0, 0);
+            (machine.mute_until, machine.hung_until) = (0, 0);
+        }
+        // A machine that stands still goes on within its lease only.
+        let hung = now < machine.hung_until;
+        self.expire(m);
+        if hung {
+            return;
+        }
+        self.run_tasks(m, bad_luck);
+        let machine = &mut self.machines[m];
+        if machine.in_flight.is_some_and(|(_, sent)| now > sent + PATIENCE) {
+            machine.in_flight = None;
+            machine.next_report = now + 1_000;
+            machine.node = (machine.node + 1) % NODES.len();
+        }
+        if machine.in_flight.is_none() && now >= machine.next_report {
+            let report = machine.worker.report();
+            machine.in_flight = Some((report.tick, now));
+            machine.next_report = now + REPORT_EVERY;
+            let (node, mute) = (machine.node, now < machine.mute_until);
+            if mute || !self.worker_linked(node, m) {
+                // It may be held back and arrive when the way is open again.
+                if self.chance(300) {
+                    let at = now + self.span(1_000, 60_000);
+                    self.at(at, Message::Report(m, node, report));
+                }
+                // The way is blocked with or without a word.
+                if self.rng.random_range(0..2) == 0 {
+                    let machine = &mut self.machines[m];
+                    machine.in_flight = None;
+                    machine.next_report = now + 1_000;
+                    machine.node = (node + 1) % NODES.len();
+                }
+                return;
+            }
+            self.send(|| Message::Report(m, node, report.clone()));
+            // A copy reaches every controller, at some time.
+            if self.chance(20) {
+                for n in 0..NODES.len() {
+                    let at = now + self.span(2_000, 60_000);
+                    self.at(at, Message::Report(m, n, report.clone()));
+                }
+            }
+        }
+    }
+
+    fn run_tasks(&mut self, m: usize, bad_luck: bool) {
+        let now = self.now;
+        let machine = &mut self.machines[m];
+        // Tasks run for a few seconds, a few for much longer than a controller is waited for, and all of some
+        // jobs for longer than a cancellation may take.
+        for task in machine.worker.live() {
+            let since = machine.since.get(&task).copied().unwrap_or(now);
+            let (id, _) = task.split_once('/').expect("a task");
+            // A mistake, or bad luck.
+            let fails = mistaken(id) && now >= since + 1_000;
+            let unlucky = bad_luck && since + 2_000 == now;
+            if fails || unlucky {
+                self.counts.errors += 1;
+                machine.worker.end(&task, Cause::Error);
+                machine.next_report = machine.next_report.min(now + 100);
+                continue;
+            }
+            let takes = match task.ends_with('7') {
+                _ if long(id) => 90_000,
+                true => 25_000,
+                false => 6_000,
+            };
+            if now < since + takes {
+                continue;
+            }
+            machine.worker.end(&task, Cause::Done);
+            machine.next_report = machine.next_report.min(now + 100);
+            let (id, _) = task.split_once('/').expect("a task");
+            let gang = self.jobs.iter().find(|j| j.name_id.as_str() == id && j.is_gang());
+            match gang {
+                Some(spec) => self.done.extend((0..spec.pieces).map(|i| format!("{id}/{i}"))),
+                None => drop(self.done.insert(task)),
+            }
+        }
+    }
+
+    /// The tasks of a withdrawn job are gone in time, whoever can be reached.
+    pub(super) fn check_withdrawn(&self) {
+        let cancel_ms = (self.controllers[0].setup.params.workers.cancel_s * 1000.0) as u64;
+        for (id, told) in &self.told {
+            let Some(at) = told.withdrawn_at.filter(|at| self.now > at + cancel_ms) else {
+                continue;
+            };
+            for machine in self.machines.iter().filter(|m| !m.dead) {
+                let there = machine.worker.live().iter().any(|t| t.starts_with(id.as_str()));
+                assert!(!there, "{id} was withdrawn at {at} and is on {}", machine.name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/tests/world/mod.rs
@@ -0,0 +1,435 @@
+//! The seeded model's world: controllers, machines, users, a state service and the network between them.
+//!
+//! Messages are late, lost, doubled and out of order; controllers are killed, stand still, are cut from the
+//! state service, from one another or from workers, or are refused by the state service alone; the state
+//! service is away and restores its leases; zones and machines are cut off, machines hang, are deaf or mute,
+//! die and come back. Every start and every answer to a user is checked against the rules.
+#![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
+
+mod controllers;
+mod machines;
+mod users;
+
+use controllers::Controller;
+use hookway_clients::Delivery;
+use hookway_controller::holders::{BlockLease, Renewal};
+use hookway_controller::ledger::Commit;
+use hookway_testkit::MemoryStore;
+use hookway_wire::{CheckIn, CheckInAnswer, DirectOrders, JobId, JobSpec, Transaction};
+use machines::Machine;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Troubles end here, ms.
+pub const CALM_AT: u64 = 200_000;
+/// By then all must be done, ms.
+pub const END_AT: u64 = 560_000;
+const STEP: u64 = 100;
+/// A worker gives up on a report after this long, ms (protocol).
+const PATIENCE: u64 = 4_000;
+const REPORT_EVERY: u64 = 2_000;
+/// The controllers with their zones. Two share one.
+const NODES: [(&str, &str); 3] = [("one", "a"), ("two", "b"), ("three", "a")];
+const ZONES: [&str; 2] = ["a", "b"];
+
+/// What is under way. Numbers of controllers and machines are places in their lists.
+#[derive(Debug)]
+enum Message {
+    /// Machine, controller.
+    Report(usize, usize, CheckIn),
+    /// A controller's answer: machine, controller, the report's number, and what it says.
+    Answer(usize, usize, u64, Reply),
+    /// Asker, asked, what, and when by the asker's own clock.
+    Renew(usize, usize, Renewal, u64),
+    /// To, from, the process that asked, the lease, and when it asked.
+    Leased(usize, usize, u64, BlockLease, u64),
+    /// A controller tells another that a job is over.
+    Over(usize, usize, JobId),
+    /// Controller, its term (0: no reply is waited for), machine.
+    Direct(usize, u64, usize, DirectOrders),
+    /// To a controller in a term: machine, token, outcome.
+    Delivered(usize, u64, String, u64, Delivery),
+    Greet(usize, u64, usize),
+    Greeted(usize, u64, String, Option<CheckIn>),
+    /// A transaction arrives at the state service.
+    Commit(usize, u64, Box<Commit>),
+    /// Its sender reads its keys again, for an answer that it did not get.
+    Reread(usize, u64, Box<Commit>),
+    /// It arrives when its sender has given it up.
+    Late(Transaction),
+    /// A deletion arrives at the cloud.
+    Delete(usize, u64, Vec<String>),
+}
+
+#[derive(Debug, Clone)]
+enum Reply {
+    Answer(CheckInAnswer),
+    Elsewhere(Option<usize>),
+    Unsure,
+}
+
+/// The leader as the state service has it.
+struct StoredLead {
+    node: usize,
+    term: u64,
+    until: u64,
+}
+
+/// What was told to users of a job.
+#[derive(Default)]
+struct Told {
+    accepted: bool,
+    done: bool,
+    withdrawn_at: Option<u64>,
+}
+
+/// How often what matters came about.
+#[derive(Debug, Default)]
+pub struct Counts {
+    pub starts: usize,
+    pub errors: usize,
+    pub greeted: usize,
+    pub kept: usize,
+    pub stopped_by_holders: usize,
+    pub terms: usize,
+    pub withdrawn_without_leader: usize,
+    pub withdrawn: usize,
+    pub asked: usize,
+    pub resumed_terms: usize,
+    pub tight_starts: usize,
+    pub bound_starts: usize,
+}
+
+impl Counts {
+    /// Both together.
+    pub fn and(self, other: &Self) -> Self {
+        Self {
+            starts: self.starts + other.starts,
+            errors: self.errors + other.errors,
+            greeted: self.greeted + other.greeted,
+            kept: self.kept + other.kept,
+            stopped_by_holders: self.stopped_by_holders + other.stopped_by_holders,
+            terms: self.terms + other.terms,
+            withdrawn_without_leader: self.withdrawn_without_leader
+                + other.withdrawn_without_leader,
+            withdrawn: self.withdrawn + other.withdrawn,
+            asked: self.asked + other.asked,
+            resumed_terms: self.resumed_terms + other.resumed_terms,
+            tight_starts: self.tight_starts + other.tight_starts,
+            bound_starts: self.bound_starts + other.bound_starts,
+        }
+    }
+}
+
+/// The world.
+pub struct World {
+    rng: StdRng,
+    now: u64,
+    store: MemoryStore,
+    lead: Option<StoredLead>,
+    next_term: u64,
+    outage_until: u64,
+    zone_cut_until: [u64; ZONES.len()],
+    controllers: Vec<Controller>,
+    machines: Vec<Machine>,
+    queue: BTreeMap<(u64, u64), Message>,
+    sent: u64,
+    pub jobs: Vec<JobSpec>,
+    told: BTreeMap<JobId, Told>,
+    done: BTreeSet<String>,
+    pub counts: Counts,
+}
+
+/// Some jobs were submitted with a mistake: they fail on every machine until their users withdraw them.
+fn mistaken(id: &str) -> bool {
+    id.bytes().next_back().is_some_and(|b| b == b'5')
+}
+
+/// The tasks of some run for longer than a cancellation may take.
+fn long(id: &str) -> bool {
+    id.bytes().next_back().is_some_and(|b| b == b'3' || b == b'8')
+}
+
+fn zone_number(zone: &str) -> usize {
+    ZONES.iter().position(|z| *z == zone).expect("a zone")
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let controllers = (0..NODES.len()).map(|n| Controller::new(n, n as u64, 0)).collect();
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: 0,
+            store: MemoryStore::default(),
+            lead: None,
+            next_term: 1,
+            outage_until: 0,
+            zone_cut_until: [0; ZONES.len()],
+            controllers,
+            machines: (1..=6).map(|n| Machine::new(n, 0)).collect(),
+            queue: BTreeMap::new(),
+            sent: 0,
+            jobs: Vec::new(),
+            told: BTreeMap::new(),
+            done: BTreeSet::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        self.now < CALM_AT && self.rng.random_range(0..1000) < per_mille
+    }
+
+    fn span(&mut self, from: u64, to: u64) -> u64 {
+        self.rng.random_range(from..to)
+    }
+
+    fn at(&mut self, time: u64, message: Message) {
+        self.sent += 1;
+        self.queue.insert((time, self.sent), message);
+    }
+
+    /// Sends a message: usually soon, at times late, twice, or never.
+    fn send(&mut self, make: impl Fn() -> Message) {
+        let direct = matches!(make(), Message::Direct(..));
+        let mut copies = 1;
+        if self.chance(40) {
+            copies = 0;
+        } else if self.chance(if direct { 300 } else { 60 }) {
+            copies = 2;
+        }
+        for copy in 0..copies {
+            let late = copy > 0 || self.chance(if direct { 250 } else { 30 });
+            let delay = match (late, self.rng.random_range(0..2)) {
+                (false, _) => self.span(5, 60),
+                (true, 0) => self.span(500, 6_000),
+                (true, _) => self.span(500, 60_000),
+            };
+            self.at(self.now + delay, make());
+        }
+    }
+
+    fn zone_open(&self, zone: &str) -> bool {
+        self.now >= self.zone_cut_until[zone_number(zone)]
+    }
+
+    /// Whether two places can talk.
+    fn zones_linked(&self, one: &str, other: &str) -> bool {
+        one == other || self.zone_open(one) && self.zone_open(other)
+    }
+
+    /// Whether the state service answers a controller.
+    fn store_answers(&self, n: usize) -> bool {
+        let node = &self.controllers[n];
+        self.now >= self.outage_until
+            && self.now >= node.no_store_until
+            && self.zone_open(NODES[n].1)
+    }
+
+    fn peers_linked(&self, one: usize, other: usize) -> bool {
+        let open = |n: usize| self.now >= self.controllers[n].no_peers_until;
+        open(one) && open(other) && self.zones_linked(NODES[one].1, NODES[other].1)
+    }
+
+    fn worker_linked(&self, n: usize, m: usize) -> bool {
+        let machine = &self.machines[m];
+        self.now >= self.controllers[n].no_workers_until
+            && self.now >= machine.cut_until
+            && self.zones_linked(NODES[n].1, machine.worker.zone())
+    }
+
+    /// The state service's leases run out, unless it is away.
+    fn tick_store(&mut self) {
+        let now = self.now;
+        if now < self.outage_until {
+            return;
+        }
+        if self.outage_until > 0 && now < self.outage_until + STEP {
+            // After an outage every lease has its full time again.
+            if let Some(lead) = &mut self.lead {
+                lead.until = now + hookway_constants::LEADER_TTL_MS;
+            }
+        }
+        if self.lead.as_ref().is_some_and(|l| now >= l.until) {
+            self.end_lead();
+        }
+        if self.chance(1) && self.rng.random_range(0..2) == 0 {
+            self.outage_until = now + self.span(1_000, 64_000);
+        }
+    }
+
+    fn end_lead(&mut self) {
+        self.lead = None;
+        let gone = hookway_wire::Change::delete(hookway_controller::records::LEAD_NOW);
+        let _ = self.store.commit(&Transaction { guards: vec![], apply: vec![gone] });
+    }
+
+    /// What strikes whole zones and controllers.
+    fn trouble(&mut self) {
+        let now = self.now;
+        if self.chance(3) {
+            let zone = self.rng.random_range(0..ZONES.len());
+            self.zone_cut_until[zone] = now + self.span(2_000, 70_000);
+        }
+        for n in 0..NODES.len() {
+            let leads = self.controllers[n].leader.is_some();
+            if !self.chance(if leads { 20 } else { 8 }) {
+                continue;
+            }
+            let until = now + self.span(500, 60_000);
+            let node = &mut self.controllers[n];
+            match self.rng.random_range(0..7) {
+                // Refused by, or cut from, the state service alone; often just before an outage.
+                0 | 1 => {
+                    node.no_store_until = until;
+                    node.refused = self.rng.random_range(0..2) == 0;
+                    if self.rng.random_range(0..3) == 0 {
+                        let begin = now + self.span(0, 9_000);
+                        self.controllers[n].outage_at = Some(begin);
+                    }
+                }
+                2 => (node.no_store_until, node.no_peers_until) = (until, until),
+                3 => node.no_peers_until = until,
+                4 => node.no_workers_until = until,
+                5 => node.frozen_until = now + self.rng.random_range(200..45_000),
+                // Killed, and back in a fraction of a second or in seconds.
+                _ => self.kill(n),
+            }
+        }
+        for n in 0..NODES.len() {
+            if self.controllers[n].outage_at.is_some_and(|at| now >= at) {
+                self.controllers[n].outage_at = None;
+                self.outage_until = now + self.span(5_000, 64_000);
+            }
+        }
+        if now == CALM_AT {
+            self.outage_until = self.outage_until.min(now);
+            self.zone_cut_until = [0; ZONES.len()];
+            for node in &mut self.controllers {
+                node.calm(now);
+            }
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let now = self.now;
+        tracing::debug!("{now}: {message:?}");
+        // What reaches a controller that stands still waits there.
+        let to = match &message {
+            Message::Report(_, n, _)
+            | Message::Renew(_, n, ..)
+            | Message::Leased(n, ..)
+            | Message::Over(n, ..)
+            | Message::Delivered(n, ..)
+            | Message::Greeted(n, ..)
+            | Message::Reread(n, ..) => Some(*n),
+            _ => None,
+        };
+        if let Some(n) = to {
+            if now < self.controllers[n].down_until {
+                return;
+            }
+            let thaw = self.controllers[n].frozen_until;
+            if now < thaw {
+                return self.at(thaw, message);
+            }
+        }
+        match message {
+            Message::Report(m, n, report) => self.report_arrives(m, n, &report),
+            Message::Answer(m, n, tick, reply) => self.answer_arrives(m, n, tick, reply),
+            Message::Renew(from, n, renewal, at) => self.renewal_arrives(from, n, &renewal, at),
+            Message::Leased(n, from, nonce, lease, sent) => {
+                self.lease_arrives(n, from, nonce, lease, sent);
+            }
+            Message::Over(n, from, id) => {
+                if self.peers_linked(from, n) {
+                    self.controllers[n].over.insert(id);
+                }
+            }
+            Message::Direct(n, term, m, orders) => self.direct_arrives(n, term, m, orders),
+            Message::Delivered(n, term, name, token, delivery) => {
+                if let Some(leader) = self.controllers[n].leading(term) {
+                    leader.ledger.delivered(&name, token, delivery, now);
+                }
+            }
+            Message::Greet(n, term, m) => self.greeting_arrives(n, term, m),
+            Message::Greeted(n, term, name, report) => {
+                self.counts.greeted += usize::from(report.is_some());
+                if let Some(leader) = self.controllers[n].leading(term) {
+                    leader.ledger.greeted(&name, report, now);
+                }
+            }
+            Message::Commit(n, term, commit) => self.carry_out(n, term, commit),
+            Message::Reread(n, term, commit) => self.reread(n, term, commit),
+            Message::Late(transaction) => {
+                if now < self.outage_until {
+                    return self.at(self.outage_until + 10, Message::Late(transaction));
+                }
+                let _ = self.store.commit(&transaction);
+                self.look_at_finals();
+            }
+            Message::Delete(n, term, names) => {
+                for m in self.machines.iter_mut().filter(|m| names.contains(&m.name)) {
+                    m.dead = true;
+                }
+                if let Some(leader) = self.controllers[n].leading(term) {
+                    leader.ledger.deleted(&names, now);
+                }
+            }
+        }
+    }
+
+    pub fn play(&mut self) {
+        while self.now < END_AT {
+            self.now += STEP;
+            self.trouble();
+            self.tick_store();
+            self.submit();
+            while let Some(entry) = self.queue.first_entry()
+                && entry.key().0 <= self.now
+            {
+                let message = entry.remove();
+                self.deliver(message);
+            }
+            for m in 0..self.machines.len() {
+                self.run_machine(m);
+            }
+            if self.chance(2) {
+                // A machine dies with all that is on it.
+                let m = self.rng.random_range(0..self.machines.len());
+                self.machines[m].dead = true;
+            }
+            for n in 0..NODES.len() {
+                self.run_controller(n);
+            }
+            self.ask_around();
+            self.check_withdrawn();
+        }
+    }
+
+    /// How things stand at the end, for whoever looks into a failure.
+    pub fn describe(&self, id: &JobId) -> String {
+        let spec = self.jobs.iter().find(|j| j.name_id == *id);
+        let of_job = |t: &&String| t.starts_with(id.as_str());
+        let mut text = format!("{spec:?}\ndone: {}", self.done.iter().filter(of_job).count());
+        for machine in self.machines.iter().filter(|m| !m.dead) {
+            let zone = machine.worker.zone();
+            text += &format!("\n{} in {zone}: {:?}", machine.name, machine.worker.live());
+        }
+        for (node, (label, zone)) in self.controllers.iter().zip(NODES) {
+            let leader = node
+                .leader
+                .as_ref()
+                .map(|l| (l.ledger.summary(self.now).to_string(), l.ledger.settled(self.now)));
+            let known = node.leader.as_ref().map(|l| l.ledger.status(id));
+            text += &format!("\n{label} in {zone}: {leader:?} {known:?}");
+        }
+        text
+    }
+
+    /// Whether the state service knows the end of a job.
+    pub fn over(&self, id: &JobId) -> bool {
+        self.store.get(&hookway_controller::records::final_key(id)).is_some()
+    }
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -68,6 +68,7 @@
             }
         }
         by_price.retain(|i| free[*i].fits(&least));
+        let mut open = open_zones(world, job_ix, short, &by_price, &free, offers);
         for &i in &by_price {
             let host = &world.hosts[i];
             if short == 0 {
@@ -76,13 +77,14 @@
             if !takes(world, job_ix, host) {
                 continue;
             }
-            let n = free[i].count(&job.need).min(short);
+            let n = free[i].count(&job.need).min(short).min(open[host.yard]);
             if n > 0 {
                 plan.needed[i] = true;
                 for _ in 0..n {
                     free[i].take(&job.need);
                 }
                 short -= n;
+                open[host.yard] -= n;
             }
         }
         for (offer, room) in &mut rented {
@@ -91,17 +93,21 @@
                 break;
             }
             if job.allows(o.flavor, o.yard, o.loaner) {
-                let n = room.count(&job.need).min(short);
+                let n = room.count(&job.need).min(short).min(open[o.yard]);
                 for _ in 0..n {
                     room.take(&job.need);
                 }
                 short -= n;
+                open[o.yard] -= n;
             }
         }
         while short > 0 {
-            let Some((offer, per_host)) = cheapest(world, job_ix, short, offers) else { break };
+            let Some((offer, per_host)) = cheapest(world, job_ix, short, offers, &open) else {
+                break;
+            };
             let flavor = &world.flavors[offers[offer].flavor];
-            let n = per_host.min(short);
+            let n = per_host.min(short).min(open[offers[offer].yard]);
+            open[offers[offer].yard] -= n;
             let mut room = Room::of_flavor(flavor);
             for _ in 0..n {
                 room.take(&job.need);
@@ -127,6 +133,47 @@
         && world.jobs[job].allows(host.flavor, host.yard, host.loaner)
 }
 
+/// How many more tasks of a job each zone may hold. Without this a gang that must spread, or be together,
+/// is thought to fit where it never will, and nothing is rented for it.
+fn open_zones(
+    world: &World,
+    job_ix: usize,
+    short: u32,
+    hosts: &[usize],
+    free: &[Room],
+    offers: &[Offer],
+) -> Vec<u32> {
+    let job = &world.jobs[job_ix];
+    let yards = world.hosts.iter().map(|h| h.yard).chain(offers.iter().map(|o| o.yard));
+    let zones = yards.max().map_or(0, |last| last + 1);
+    let here = |zone: usize| job.per_zone.get(zone).copied().unwrap_or(0);
+    let mut open: Vec<u32> = (0..zones).map(|z| job.zone_cap.saturating_sub(here(z))).collect();
+    if !job.together || job.pieces <= 1 {
+        return open;
+    }
+    // In one zone: where it is, or where all of it has room, or where the most of it has and more can be
+    // rented.
+    let room = |zone: usize| -> u32 {
+        let there = hosts.iter().filter(|i| world.hosts[**i].yard == zone);
+        there
+            .filter(|i| takes(world, job_ix, &world.hosts[**i]))
+            .fold(0, |n: u32, i| n.saturating_add(free[*i].count(&job.need)))
+    };
+    let rentable = |zone: usize| {
+        offers.iter().any(|o| o.yard == zone && job.allows(o.flavor, o.yard, o.loaner))
+    };
+    let best = (0..zones).max_by_key(|zone| {
+        let room = room(*zone).min(short);
+        (here(*zone), room == short, rentable(*zone), room)
+    });
+    for (zone, open) in open.iter_mut().enumerate() {
+        if Some(zone) != best {
+            *open = 0;
+        }
+    }
+    open
+}
+
 /// Time until a machine rented now could run the job's first task, s.
 fn lead_time(world: &World, job_ix: usize) -> f64 {
     let job = &world.jobs[job_ix];
@@ -141,11 +188,17 @@
 }
 
 /// The offer with the lowest price for the tasks it would take; and how many a machine takes.
-fn cheapest(world: &World, job_ix: usize, short: u32, offers: &[Offer]) -> Option<(usize, u32)> {
+fn cheapest(
+    world: &World,
+    job_ix: usize,
+    short: u32,
+    offers: &[Offer],
+    open: &[u32],
+) -> Option<(usize, u32)> {
     let job = &world.jobs[job_ix];
     let mut best: Option<(f64, usize, u32)> = None;
     for (i, offer) in offers.iter().enumerate() {
-        if !job.allows(offer.flavor, offer.yard, offer.loaner) {
+        if !job.allows(offer.flavor, offer.yard, offer.loaner) || open[offer.yard] == 0 {
             continue;
         }
         let flavor = world.flavors.get(offer.flavor)?;
@@ -153,7 +206,7 @@
         if fits == 0 {
             continue;
         }
-        let tasks = fits.min(short);
+        let tasks = fits.min(short).min(open[offer.yard]);
         // Boot and image fetch are paid for too, spread over a nominal minute of work.
         let fetch = flavor.fetch_s(job.image_gb);
         let overhead = 1.0 + (flavor.ready_s + fetch) / 60.0;
@@ -181,4 +234,30 @@
         assert_eq!(plan.needed, [true]);
         assert_eq!(plan.rent, [Rent { offer: 1, count: 1 }], "half of 10 in each of two rounds");
     }
+
+    fn gang(pieces: u32) -> crate::JobView {
+        crate::JobView { gang: true, ..job(3.0, pieces) }
+    }
+
+    /// Found by the model, on 2026-12-02: a gang that must spread waited for ever on a site that had idle
+    /// machines in one zone only.
+    #[test]
+    fn a_gang_that_must_spread_gets_machines_in_the_other_zone() {
+        let spread = crate::JobView { zone_cap: 2, ..gang(3) };
+        let w = world(vec![spread], vec![host(0), host(0), host(0)]);
+        let offers = [0, 1].map(|yard| Offer { flavor: 0, yard, loaner: false, price: 1.0 });
+        assert_eq!(plan_fleet(&w, &offers).rent, [Rent { offer: 1, count: 1 }]);
+    }
+
+    #[test]
+    fn a_gang_that_must_be_together_gets_what_one_zone_lacks() {
+        let together = crate::JobView { together: true, ..gang(3) };
+        let w = world(vec![together.clone()], vec![host(0), host(1), host(1)]);
+        let offers = [0, 1].map(|yard| Offer { flavor: 0, yard, loaner: false, price: 1.0 });
+        assert_eq!(plan_fleet(&w, &offers).rent, [Rent { offer: 1, count: 1 }]);
+        // Where nothing can be rented it never fits; all of it goes where something can.
+        assert_eq!(plan_fleet(&w, &offers[..1]).rent, [Rent { offer: 0, count: 2 }]);
+        let whole = world(vec![together], vec![host(0), host(1), host(1), host(1)]);
+        assert_eq!(plan_fleet(&whole, &offers).rent, []);
+    }
 }
