--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -4,16 +4,15 @@
 
 mod world;
 
-use world::{Counts, World};
+use world::{Counts, Meeting, World};
 
 /// Plays a day to its end.
-fn day(seed: u64) -> Counts {
+fn day(seed: u64, mut world: World) -> Counts {
     println!("seed {seed}");
     if std::env::var("HOOKWAY_MODEL_LOG").is_ok() {
         let log = tracing_subscriber::fmt().without_time().with_max_level(tracing::Level::DEBUG);
         let _ = log.with_writer(std::io::stdout).with_target(false).try_init();
     }
-    let mut world = World::new(seed);
     world.play();
     for spec in &world.jobs {
         let id = &spec.name_id;
@@ -22,14 +21,46 @@
     world.counts
 }
 
+/// The seeds to play. More of them by hand: `HOOKWAY_MODEL_SEEDS=2000..3000 cargo test --release --test model`.
+fn seeds(as_a_rule: u64) -> std::ops::Range<u64> {
+    let wanted = std::env::var("HOOKWAY_MODEL_SEEDS").ok();
+    let span = wanted.as_deref().and_then(|s| s.split_once(".."));
+    let number = |s: &str| s.parse().expect("a seed");
+    span.map_or(0..as_a_rule, |(from, to)| number(from)..number(to))
+}
+
+fn meeting(meeting: Meeting) -> Counts {
+    let days: Vec<Counts> = seeds(12).map(|seed| day(seed, World::with(meeting, seed))).collect();
+    days.iter().fold(Counts::default(), Counts::and)
+}
+
+/// The tasks of jobs that were cancelled in the gap are gone in time all the same: `check_withdrawn`.
+#[test]
+fn tasks_that_were_cancelled_in_the_gap_go_in_time() {
+    let all = meeting(Meeting::Gap);
+    println!("{all:?}");
+    assert!(all.withdrawn_without_leader > 20 && all.kept > 50, "{all:?}");
+    assert!(all.stopped_by_holders > 20, "the old leader was told: {all:?}");
+}
+
+#[test]
+fn tasks_that_were_cancelled_in_the_gap_go_in_time_if_nobody_can_tell_the_old_leader() {
+    let all = meeting(Meeting::GapApart);
+    println!("{all:?}");
+    assert!(all.withdrawn_without_leader > 20 && all.kept > 50, "{all:?}");
+}
+
+/// No block is leased while a task of a cancelled job may be anywhere.
+#[test]
+fn tasks_that_only_a_holder_can_reach_go_in_time() {
+    let all = meeting(Meeting::Holder);
+    println!("{all:?}");
+    assert!(all.withdrawn > 50, "{all:?}");
+}
+
 #[test]
 fn no_rule_is_broken_and_no_job_is_forgotten_on_random_days() {
-    // More of them by hand: `HOOKWAY_MODEL_SEEDS=2000..3000 cargo test --release --test model`.
-    let seeds = std::env::var("HOOKWAY_MODEL_SEEDS").ok();
-    let span = seeds.as_deref().and_then(|s| s.split_once(".."));
-    let (from, to) =
-        span.map_or((0, 60), |(a, b)| (a.parse().expect("a seed"), b.parse().expect("a seed")));
-    let days: Vec<Counts> = (from..to).map(day).collect();
+    let days: Vec<Counts> = seeds(60).map(|seed| day(seed, World::new(seed))).collect();
     let all = days.iter().fold(Counts::default(), Counts::and);
     println!("{all:?}");
     // The days brought about what they are for.
--- a/crates/controller/tests/world/machines.rs
+++ b/crates/controller/tests/world/machines.rs
@@ -1,6 +1,6 @@
 //! Machines with their workers and tasks, and the rules at each start.
 
-use super::{CALM_AT, Message, NODES, PATIENCE, REPORT_EVERY, Reply, World, long, mistaken};
+use super::{CALM_AT, Message, NODES, PATIENCE, REPORT_EVERY, Reply, World, mistaken};
 use hookway_clients::Delivery;
 use hookway_testkit::ScriptedWorker;
 use hookway_wire::{Cause, DirectOrders};
@@ -18,6 +18,8 @@
     /// The controller that it reports to.
     node: usize,
     pub cut_until: u64,
+    /// A packet filter stands between it and that controller.
+    pub cut_from: Option<(usize, u64)>,
     deaf_until: u64,
     /// It reaches nobody, while direct commands reach it.
     mute_until: u64,
@@ -43,6 +45,7 @@
             next_report: now,
             node: n % NODES.len(),
             cut_until: 0,
+            cut_from: None,
             deaf_until: 0,
             mute_until: 0,
             hung_until: 0,
@@ -199,16 +202,18 @@
 
     /// Troubles of one machine.
     fn strike(&mut self, m: usize) {
-        if !self.chance(3) {
+        if self.plot.is_some() || !self.chance(3) {
             return;
         }
         let until = self.now + self.span(1_000, 45_000);
-        let kind = self.rng.random_range(0..4);
+        let kind = self.rng.random_range(0..5);
+        let node = self.rng.random_range(0..NODES.len());
         let machine = &mut self.machines[m];
         match kind {
             0 => machine.cut_until = until,
             1 => machine.deaf_until = until,
             2 => machine.mute_until = until,
+            3 => machine.cut_from = Some((node, until)),
             _ => machine.hung_until = until,
         }
     }
@@ -222,7 +227,7 @@
         let bad_luck = self.chance(30);
         let machine = &mut self.machines[m];
         if now >= CALM_AT {
-            (machine.cut_until, machine.deaf_until) = (0, 0);
+            (machine.cut_until, machine.deaf_until, machine.cut_from) = (0, 0, None);
             (machine.mute_until, machine.hung_until) = (0, 0);
         }
         // A machine that stands still goes on within its lease only.
@@ -271,12 +276,13 @@
 
     fn run_tasks(&mut self, m: usize, bad_luck: bool) {
         let now = self.now;
-        let machine = &mut self.machines[m];
         // Tasks run for a few seconds, a few for much longer than a controller is waited for, and all of some
         // jobs for longer than a cancellation may take.
-        for task in machine.worker.live() {
-            let since = machine.since.get(&task).copied().unwrap_or(now);
+        for task in self.machines[m].worker.live() {
             let (id, _) = task.split_once('/').expect("a task");
+            let long = self.long(id);
+            let machine = &mut self.machines[m];
+            let since = machine.since.get(&task).copied().unwrap_or(now);
             // A mistake, or bad luck.
             let fails = mistaken(id) && now >= since + 1_000;
             let unlucky = bad_luck && since + 2_000 == now;
@@ -287,7 +293,7 @@
                 continue;
             }
             let takes = match task.ends_with('7') {
-                _ if long(id) => 90_000,
+                _ if long => 90_000,
                 true => 25_000,
                 false => 6_000,
             };
--- a/crates/controller/tests/world/mod.rs
+++ b/crates/controller/tests/world/mod.rs
@@ -8,6 +8,7 @@
 
 mod controllers;
 mod machines;
+mod plots;
 mod users;
 
 use controllers::Controller;
@@ -17,6 +18,8 @@
 use hookway_testkit::MemoryStore;
 use hookway_wire::{CheckIn, CheckInAnswer, DirectOrders, JobId, JobSpec, Transaction};
 use machines::Machine;
+pub use plots::Meeting;
+use plots::Plot;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -137,6 +140,7 @@
     sent: u64,
     /// How often leaders are struck: on some days it takes long until one is.
     unrest: u32,
+    plot: Option<Plot>,
     pub jobs: Vec<JobSpec>,
     told: BTreeMap<JobId, Told>,
     done: BTreeSet<String>,
@@ -148,11 +152,6 @@
     id.bytes().next_back().is_some_and(|b| b == b'5')
 }
 
-/// The tasks of some run for longer than a cancellation may take.
-fn long(id: &str) -> bool {
-    id.bytes().next_back().is_some_and(|b| b == b'3' || b == b'8')
-}
-
 fn zone_number(zone: &str) -> usize {
     ZONES.iter().position(|z| *z == zone).expect("a zone")
 }
@@ -172,6 +171,7 @@
             machines: (1..=6).map(|n| Machine::new(n, 0)).collect(),
             queue: BTreeMap::new(),
             sent: 0,
+            plot: None,
             unrest: if seed.is_multiple_of(2) { 20 } else { 4 },
             jobs: Vec::new(),
             told: BTreeMap::new(),
@@ -180,6 +180,19 @@
         }
     }
 
+    /// A day on which one meeting is brought about, and nothing else strikes whole controllers or zones.
+    pub fn with(plot: Meeting, seed: u64) -> Self {
+        let mut world = Self::new(seed);
+        let at = world.span(45_000, 60_000);
+        world.plot = Some(Plot { meeting: plot, at, leader: 0, away_at: 0 });
+        world
+    }
+
+    /// The tasks of some run for longer than a cancellation may take.
+    fn long(&self, id: &str) -> bool {
+        self.plot.is_some() || id.bytes().next_back().is_some_and(|b| b == b'3' || b == b'8')
+    }
+
     fn chance(&mut self, per_mille: u32) -> bool {
         self.now < CALM_AT && self.rng.random_range(0..1000) < per_mille
     }
@@ -237,7 +250,9 @@
 
     fn worker_linked(&self, n: usize, m: usize) -> bool {
         let machine = &self.machines[m];
-        self.now >= self.controllers[n].no_workers_until
+        let filtered = machine.cut_from.is_some_and(|(node, until)| node == n && self.now < until);
+        !filtered
+            && self.now >= self.controllers[n].no_workers_until
             && self.now >= machine.cut_until
             && self.zones_linked(NODES[n].1, machine.worker.zone())
     }
@@ -271,6 +286,10 @@
     /// What strikes whole zones and controllers.
     fn trouble(&mut self) {
         let now = self.now;
+        if self.plot.is_some() {
+            self.thicken();
+            return self.calm_down();
+        }
         if self.chance(3) {
             let zone = self.rng.random_range(0..ZONES.len());
             self.zone_cut_until[zone] = now + self.span(2_000, 70_000);
@@ -306,6 +325,11 @@
                 self.outage_until = now + self.span(5_000, 64_000);
             }
         }
+        self.calm_down();
+    }
+
+    fn calm_down(&mut self) {
+        let now = self.now;
         if now == CALM_AT {
             self.outage_until = self.outage_until.min(now);
             self.zone_cut_until = [0; ZONES.len()];
--- /dev/null
+++ b/crates/controller/tests/world/plots.rs
@@ -0,0 +1,98 @@
+//! Days on which one meeting of troubles is brought about, at a moment that differs from seed to seed.
+
+use super::{NODES, World};
+use rand::RngExt;
+
+/// Longer than a cancellation may take, and a lease after it, ms.
+const AWAY: u64 = 64_000;
+const LONG: u64 = 100_000;
+
+/// Which meeting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Meeting {
+    /// The gap: the state service refuses the leader alone, another controller confirms cancellations, and
+    /// then the state service is away for all for longer than `cancel_s`, while workers report to the old
+    /// leader.
+    Gap,
+    /// The same, and the old leader can't reach the other controllers either.
+    GapApart,
+    /// Machines can't be reached by the leader that confirms cancellations, but by their block's holder, which
+    /// loses the leader later.
+    Holder,
+}
+
+pub(super) struct Plot {
+    pub meeting: Meeting,
+    /// When it begins, ms.
+    pub at: u64,
+    /// Who led then.
+    pub leader: usize,
+    /// From then on the state service is away, ms.
+    pub away_at: u64,
+}
+
+impl World {
+    /// What strikes, and when.
+    pub(super) fn thicken(&mut self) {
+        let now = self.now;
+        let Some(plot) = &self.plot else { return };
+        if now < plot.at {
+            return;
+        }
+        let meeting = plot.meeting;
+        if plot.away_at == 0 {
+            let Some(leader) = self.lead.as_ref().map(|l| l.node) else { return };
+            let away_at = match meeting {
+                Meeting::Gap | Meeting::GapApart => now + self.span(5_000, 9_000),
+                Meeting::Holder => now + self.span(12_000, 25_000),
+            };
+            self.plot = Some(Plot { meeting, at: now, leader, away_at });
+            let node = &mut self.controllers[leader];
+            match meeting {
+                Meeting::Gap | Meeting::GapApart => {
+                    node.no_store_until = now + LONG;
+                    node.refused = true;
+                    if meeting == Meeting::GapApart {
+                        node.no_peers_until = now + LONG;
+                    }
+                }
+                Meeting::Holder => {
+                    let there = |z: &str| z != NODES[leader].1;
+                    let far = self.machines.iter_mut().filter(|m| there(m.worker.zone()));
+                    far.for_each(|m| m.cut_from = Some((leader, now + LONG)));
+                }
+            }
+        } else if now >= plot.away_at && now < plot.away_at + 100 {
+            self.outage_until = now + AWAY;
+            if meeting == Meeting::Holder {
+                // Nothing but the block's lease speaks for the holder from now on.
+                let leader = plot.leader;
+                self.controllers[leader].no_peers_until = now + LONG;
+            }
+        }
+    }
+
+    /// Users withdraw everything, at whichever controller, once it matters.
+    pub(super) fn withdraw_in_plot(&mut self) {
+        let now = self.now;
+        let Some(plot) = self.plot.as_ref().filter(|p| p.away_at > 0 && now < p.away_at) else {
+            return;
+        };
+        let (meeting, leader) = (plot.meeting, plot.leader);
+        let ready = match meeting {
+            Meeting::Gap | Meeting::GapApart => self.lead.as_ref().is_none_or(|l| l.node != leader),
+            Meeting::Holder => now < plot.at + 2_000,
+        };
+        if !ready {
+            return;
+        }
+        let n = match meeting {
+            Meeting::Holder => leader,
+            _ => self.rng.random_range(0..NODES.len()),
+        };
+        let ids: Vec<_> = self.jobs.iter().map(|j| j.name_id.clone()).collect();
+        for id in ids {
+            self.withdraw_at(n, &id);
+        }
+    }
+}
--- a/crates/controller/tests/world/users.rs
+++ b/crates/controller/tests/world/users.rs
@@ -1,6 +1,6 @@
 //! Users: what they submit, ask and withdraw at any controller, and what they are told.
 
-use super::{CALM_AT, Message, NODES, World, long, mistaken};
+use super::{CALM_AT, Message, NODES, World, mistaken};
 use hookway_controller::ledger::{Lookup, Withdrawal};
 use hookway_controller::records::{JobRecord, LEAD_NOW, final_key, job_key};
 use hookway_wire::{Change, Guard, JobId, JobSpec, JobState, Transaction};
@@ -15,14 +15,15 @@
 
 impl World {
     pub(super) fn submit(&mut self) {
-        if self.jobs.len() >= 40 || !self.chance(30) {
+        let most = if self.plot.is_some() { 14 } else { 40 };
+        if self.jobs.len() >= most || !self.chance(30) {
             return;
         }
         let n = self.jobs.len();
         let gang = self.rng.random_range(0..3) == 0;
         let owner = if self.rng.random_range(0..4) == 0 { "tight" } else { "team" };
         let pieces = match owner {
-            _ if gang || long(&n.to_string()) => self.span(1, 4),
+            _ if gang || self.long(&n.to_string()) => self.span(1, 4),
             "tight" => self.span(1, 16),
             _ => self.span(1, 80),
         };
@@ -65,6 +66,9 @@
                 (0..NODES.len()).for_each(|n| self.withdraw_at(n, &id));
             }
         }
+        if self.plot.is_some() {
+            self.withdraw_in_plot();
+        }
         let n = self.rng.random_range(0..self.jobs.len());
         let id = self.jobs[n].name_id.clone();
         for n in 0..NODES.len() {
@@ -73,6 +77,7 @@
         // More of them while a controller is refused or cut off, and most while nobody leads.
         let odd = self.controllers.iter().any(|c| self.now < c.no_store_until);
         let rate = match (&self.lead, odd) {
+            _ if self.plot.is_some() => 0,
             (None, _) => 250,
             (_, true) => 25,
             _ => 5,
@@ -142,7 +147,7 @@
     }
 
     /// A user withdraws a job at a controller.
-    fn withdraw_at(&mut self, n: usize, id: &JobId) {
+    pub(super) fn withdraw_at(&mut self, n: usize, id: &JobId) {
         if !self.controllers[n].up(self.now) || self.controllers[n].over.contains(id) {
             return;
         }
