--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -50,6 +50,13 @@
     assert!(all.withdrawn_without_leader > 20 && all.kept > 50, "{all:?}");
 }
 
+#[test]
+fn tasks_that_were_cancelled_in_the_gap_go_in_time_in_a_zone_that_is_cut_off() {
+    let all = meeting(Meeting::GapZone);
+    println!("{all:?}");
+    assert!(all.withdrawn_without_leader > 20 && all.kept > 50, "{all:?}");
+}
+
 /// No block is leased while a task of a cancelled job may be anywhere.
 #[test]
 fn tasks_that_only_a_holder_can_reach_go_in_time() {
