A cancellation is confirmed only where every right that keeps its tasks alive ends in time

Where a worker's lease outlasts the time for a cancellation, nobody is told of one before its tasks are gone (503 at once); without a leader nobody is told at all. Test in meetings.rs.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Params;
 use crate::lead::{View, wall_ms};
-use crate::ledger::{Lookup, Withdrawal};
+use crate::ledger::{Lookup, Withdrawal, leases_end_in_time};
 use crate::limiter::Limiter;
 use crate::node::{Ask, CheckInReply};
 use crate::peers::{PeerAnswer, PeerAsk, Peers};
@@ -296,6 +296,9 @@
             match self.ask(|r| Ask::Withdraw(id.clone(), r)).await {
                 Some(Withdrawal::Over(status)) => return self.cancelled(status.into()),
                 Some(Withdrawal::Pending) => return later("the decision is not durable yet"),
+                Some(Withdrawal::Unproven) => {
+                    return later("its tasks may not be gone in time yet");
+                }
                 Some(Withdrawal::NotHere) => match Self::stored(&self.stores.submissions, id).await
                 {
                     Ok(Stored::Over(told)) => return self.known(told),
@@ -317,6 +320,10 @@
     }
 
     async fn withdraw_without_leader(&self, id: &JobId) -> Verdict {
+        // Whoever led may have answered workers a moment ago, and nobody can tell whether their tasks are gone.
+        if !leases_end_in_time(&self.params) {
+            return later("without a leader its tasks may not be gone in time");
+        }
         let value = match Self::stored(&self.stores.submissions, id).await {
             Ok(Stored::Over(told)) => return self.known(told),
             Ok(Stored::Nothing) => return Verdict::Absent,
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -797,6 +797,7 @@
     /// Time passes: what is on machines whose lease has surely run out is gone, and starts that
     /// wait for a silent machine are dropped.
     pub fn pass_time(&mut self, now: u64) {
+        self.write_proven(now);
         if self.unheard_over(now) {
             self.writer.roster.forget_unreadable();
         }
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -89,6 +89,8 @@
     Over(JobStatus),
     /// The decision is being written down; it comes with [`Ledger::take_decided`].
     Pending,
+    /// Its tasks may not be gone in time yet, so its user can't be told; nothing of it is started any more.
+    Unproven,
     /// Not in this picture.
     NotHere,
 }
@@ -167,6 +169,8 @@
     directs: usize,
     /// Workers that are being asked what is on their machines.
     greetings: usize,
+    /// Withdrawn jobs whose tasks may not be gone in time yet.
+    unproven: BTreeSet<u64>,
     /// Some task may have to be stopped that its worker was not told about.
     stops_due: bool,
     /// When this leader won, ms.
@@ -264,6 +268,7 @@
             planned_on: BTreeSet::new(),
             directs: 0,
             greetings: 0,
+            unproven: BTreeSet::new(),
             stops_due: false,
             won_at: at.now,
             told: at,
@@ -620,9 +625,29 @@
             tracing::info!("job {id}: its user withdraws it");
             job.ending = Some(JobState::Withdrawn);
             self.stops_due = true;
-            self.writer.finals.push_back(key);
+            self.unproven.insert(key);
+            self.write_proven(self.told.now);
+        }
+        if self.unproven.contains(&key) { Withdrawal::Unproven } else { Withdrawal::Pending }
+    }
+
+    /// Cancellations of which it is sure that all rights which may keep tasks alive end in time are written
+    /// down. As a rule that is all of them at once: blocks are leased so that they end in time, and a
+    /// worker's lease is shorter than a cancellation may take. Where it is not, the tasks must be gone first.
+    fn write_proven(&mut self, now: u64) {
+        if self.unproven.is_empty() {
+            return;
+        }
+        let by_themselves = leases_end_in_time(&self.setup.params);
+        let settled = self.settled(now);
+        for key in std::mem::take(&mut self.unproven) {
+            let Some(job) = self.jobs.get(&key) else { continue };
+            if by_themselves || settled && job.held == 0 {
+                self.writer.finals.push_back(key);
+            } else {
+                self.unproven.insert(key);
+            }
         }
-        Withdrawal::Pending
     }
 
     /// Jobs whose end has become durable since the last call.
@@ -764,6 +789,12 @@
     setup.operator.block_lease_ms.min(most.max(0.0) as u64)
 }
 
+/// Whether the lease of a worker that nobody answers any more ends within the time for a cancellation.
+pub fn leases_end_in_time(params: &Params) -> bool {
+    let lease_ms = lease_over_ms(params) as f64 + constants::CANCEL_MARGIN_MS;
+    lease_ms <= params.workers.cancel_s * 1000.0
+}
+
 /// A worker's lease with drift and margin, ms: this long after the last moment when anyone entitled
 /// could have answered it, it has killed its tasks.
 pub fn lease_over_ms(params: &Params) -> u64 {
--- a/crates/controller/tests/meetings.rs
+++ b/crates/controller/tests/meetings.rs
@@ -6,8 +6,8 @@
 
 use hookway_controller::ledger::{CommitResult, Lookup, Withdrawal, lease_over_ms};
 use hookway_controller::records::minimum_key;
-use hookway_testkit::ScriptedWorker;
-use hookway_wire::{Cause, JobId, JobState};
+use hookway_testkit::{MemoryStore, ScriptedWorker};
+use hookway_wire::{Cause, JobId, JobState, Order};
 use play::{Play, job, setup, small};
 
 /// Machines of both zones with a task each, of a job that is bound to zones in some way.
@@ -139,3 +139,33 @@
     play.ledger.committed(commit, CommitResult::NotDone, play.now);
     assert_eq!(play.state(&id), JobState::Running);
 }
+
+/// Where a worker's lease is longer than a cancellation may take, nobody is told of one before its tasks are
+/// gone: a machine that hears nothing would keep them beyond it.
+#[test]
+fn a_cancellation_waits_for_its_tasks_where_leases_outlast_it() {
+    let mut setup = setup();
+    setup.params.workers.cancel_s = setup.params.workers.lease_s - 4.0;
+    let mut play = Play::lead_with(setup, MemoryStore::default(), 1, 0);
+    let mut worker = small("m-1", "a");
+    let id = play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut worker]);
+    assert_eq!(play.ledger.withdraw(&id), Withdrawal::Unproven);
+    // It is cut off; its user asks again and again.
+    let report = worker.report();
+    for _ in 0..5 {
+        play.wait(1_000);
+        assert_eq!(play.ledger.withdraw(&id), Withdrawal::Unproven);
+        assert_eq!(play.stored_final(&id), None);
+    }
+    let stops = play.ledger.check_in(&report, play.now).expect("the leader answers").orders;
+    assert!(matches!(stops.as_slice(), [Order::Kill { .. }]), "{stops:?}");
+    worker.end(&worker.live()[0].clone(), Cause::Stopped);
+    play.beat(&mut worker);
+    play.wait(100);
+    assert_eq!(play.stored_final(&id).as_deref(), Some("withdrawn"));
+    // As a rule nothing waits.
+    let mut play = Play::start();
+    let id = play.submit(job("req-000002", "array", 1));
+    assert_eq!(play.ledger.withdraw(&id), Withdrawal::Pending);
+}
--- a/crates/controller/tests/play/mod.rs
+++ b/crates/controller/tests/play/mod.rs
@@ -44,7 +44,12 @@
     }
 
     /// A node wins the leadership for a term and reads everything.
-    pub fn lead(mut store: MemoryStore, term: u64, now: u64) -> Self {
+    pub fn lead(store: MemoryStore, term: u64, now: u64) -> Self {
+        Self::lead_with(setup(), store, term, now)
+    }
+
+    /// The same, with other settings.
+    pub fn lead_with(setup: Setup, mut store: MemoryStore, term: u64, now: u64) -> Self {
         let stamp = store.put(LEAD_NOW, serde_json::json!({ "term": term }));
         let loaded = Loaded {
             jobs: store.list("j/"),
@@ -57,7 +62,7 @@
         };
         let guard = Guard { key: LEAD_NOW.into(), stamp };
         let at = Moment { now, wall: 1_000_000 + now };
-        let ledger = Ledger::new(setup(), term, guard, flavors(), loaded, at);
+        let ledger = Ledger::new(setup, term, guard, flavors(), loaded, at);
         Self { ledger, store, now }
     }
 
