--- a/crates/controller/tests/meetings.rs
+++ b/crates/controller/tests/meetings.rs
@@ -7,8 +7,8 @@
 use hookway_controller::ledger::{CommitResult, Lookup, Withdrawal, lease_over_ms};
 use hookway_controller::records::minimum_key;
 use hookway_testkit::{MemoryStore, ScriptedWorker};
-use hookway_wire::{Cause, JobId, JobState, Order};
-use play::{Play, job, setup, small};
+use hookway_wire::{Cause, DirectOrders, HostState, JobId, JobState, Order};
+use play::{Play, job, listed, setup, small};
 
 /// Machines of both zones with a task each, of a job that is bound to zones in some way.
 fn bound_job(play: &mut Play, together: bool, spread: bool, pieces: u32) -> JobId {
@@ -169,3 +169,197 @@
     let id = play.submit(job("req-000002", "array", 1));
     assert_eq!(play.ledger.withdraw(&id), Withdrawal::Pending);
 }
+
+/// An old report reaches every controller just as a new leader begins: it is the first that the new one hears
+/// of the machine, and what it shows has moved since.
+#[test]
+fn an_old_report_that_a_new_leader_hears_first_starts_nothing_twice() {
+    let mut play = Play::start();
+    let (mut left, mut right) = (small("m-1", "a"), small("m-2", "b"));
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut left]);
+    assert_eq!(left.live().len(), 1);
+    let old = left.report();
+    // The task fails there and goes on elsewhere.
+    left.end(&left.live()[0].clone(), Cause::NoRoom);
+    play.settle(&mut [&mut left, &mut right]);
+    while right.live().is_empty() {
+        play.settle(&mut [&mut left, &mut right]);
+    }
+    let mut next = Play::lead(play.store.clone(), 2, play.now + 6_000);
+    // The copy comes first; its answer reaches nobody.
+    next.ledger.check_in(&old, next.now);
+    next.wait(500);
+    let mut spare = small("m-3", "a");
+    for _ in 0..4 {
+        next.settle(&mut [&mut spare]);
+        assert_eq!(spare.started, [], "it runs on m-2, which was not heard yet");
+    }
+    next.settle(&mut [&mut left, &mut right, &mut spare]);
+    next.settle(&mut [&mut left, &mut right, &mut spare]);
+    let live: usize = [&left, &right, &spare].iter().map(|w| w.live().len()).sum();
+    assert_eq!(live, 1, "one machine has it");
+    // The copy again, now that newer ones came: nothing changes.
+    assert_eq!(next.ledger.check_in(&old, next.now), None);
+}
+
+/// A report is held back until a new leader has acted, and then arrives there.
+#[test]
+fn a_report_that_was_held_back_until_a_new_leader_acted_undoes_nothing() {
+    let mut play = Play::start();
+    let mut worker = small("m-1", "a");
+    play.submit(job("req-000001", "array", 1));
+    play.settle(&mut [&mut worker]);
+    worker.end(&worker.live()[0].clone(), Cause::Error);
+    let held_back = worker.report();
+    let mut next = Play::lead(play.store.clone(), 2, play.now + 6_000);
+    // It asks the worker, which tells it what it has under its token.
+    let hello = DirectOrders { baton: 2, tenure: worker.session(), orders: vec![] };
+    let told = worker.orders(&hello).expect("a higher token");
+    next.ledger.listed(&[listed("m-1", HostState::Running, 60.0)], next.now, next.now);
+    next.ledger.greeted("m-1", Some(told), next.now);
+    next.settle(&mut [&mut worker]);
+    next.now += 60_000;
+    while worker.live().is_empty() {
+        next.settle(&mut [&mut worker]);
+    }
+    let before = worker.started.len();
+    assert_eq!(next.ledger.check_in(&held_back, next.now), None, "it is older than what was heard");
+    for _ in 0..5 {
+        next.settle(&mut [&mut worker]);
+    }
+    assert_eq!((worker.live().len(), worker.started.len()), (1, before));
+}
+
+/// New machines are up within two seconds and get work at once while writes lag, and the leader ends: before
+/// the store has the machine nothing starts there, and afterwards the next leader knows of it, listed or not.
+#[test]
+fn a_machine_that_the_next_leader_may_not_know_of_has_no_task() {
+    let mut play = Play::start();
+    let mut quick = small("m-1", "a");
+    play.submit(job("req-000001", "array", 1));
+    // The write of its entry has no answer; it is carried out late, after the leader's end.
+    let report = quick.report();
+    let answer = play.ledger.check_in(&report, play.now).expect("the leader answers");
+    assert!(quick.take(&answer));
+    play.now += 500;
+    play.ledger.round(play.now);
+    let mut lost = Vec::new();
+    while let Some(commit) = play.ledger.next_commit(play.now) {
+        lost.push(commit.transaction.clone());
+        let read = commit.keys().into_iter().map(|k| (k.clone(), play.store.get(&k))).collect();
+        play.ledger.committed(commit, CommitResult::Unsure(read), play.now);
+        let report = quick.report();
+        let answer = play.ledger.check_in(&report, play.now).expect("the leader answers");
+        assert!(quick.take(&answer));
+        play.now += 500;
+        if lost.len() > 5 {
+            break;
+        }
+    }
+    assert_eq!(quick.started, [], "the next leader would not know of it");
+    let mut next = Play::lead(play.store.clone(), 2, play.now);
+    for transaction in &lost {
+        assert!(next.store.commit(transaction).is_err(), "the old leader's writes fail by now");
+    }
+    let mut other = small("m-2", "b");
+    next.settle(&mut [&mut other]);
+    assert_eq!(other.live().len(), 1, "nothing waits for a machine that holds nothing");
+    // Now with a write that came through: the next leader waits for the machine, listed or not.
+    let mut third = Play::lead(next.store.clone(), 3, next.now + 500);
+    let mut spare = small("m-3", "a");
+    third.ledger.listed(&[], third.now, third.now);
+    third.settle(&mut [&mut spare]);
+    assert_eq!(spare.started, []);
+}
+
+/// A team is at its limit when the leader changes, a machine of its can't be asked, and the job there is
+/// cancelled: what may still run counts until it is surely gone, also once the job's record is gone.
+#[test]
+fn tasks_of_a_cancelled_job_count_against_the_limit_until_they_are_surely_gone() {
+    let tight = |id: &str| {
+        let mut spec = job(id, "array", 1);
+        spec.owner = "tight".into();
+        spec
+    };
+    let mut play = Play::start();
+    let (mut cut, mut near) = (small("m-1", "b"), small("m-2", "a"));
+    let id = play.submit(tight("req-000001"));
+    play.settle(&mut [&mut cut]);
+    assert_eq!(cut.live().len(), 1, "three of four CPUs");
+    play.submit(tight("req-000002"));
+    // Cancelled under the old leader, or under the new one, or while nobody leads.
+    for (case, at) in ["before", "after"].iter().zip([40_000, 80_000]) {
+        let mut play = Play::lead(play.store.clone(), at, at);
+        if *case == "before" {
+            play.ledger.withdraw(&id);
+            play.flush();
+            play = Play::lead(play.store.clone(), at + 4_096, at + 1_000);
+        } else {
+            play.wait(1_000);
+            play.ledger.withdraw(&id);
+            play.flush();
+        }
+        assert_eq!(play.stored_final(&id).as_deref(), Some("withdrawn"));
+        let over = play.now + lease_over_ms(&setup().params) - 3_000;
+        let mut near = near.clone();
+        while play.now < over {
+            play.settle(&mut [&mut near]);
+            assert_eq!(near.started, [], "{case}: m-1 may still run it");
+        }
+        for _ in 0..5 {
+            play.settle(&mut [&mut near]);
+        }
+        assert_eq!(near.live().len(), 1, "{case}: it is gone for sure");
+    }
+    near.expire();
+}
+
+/// Jobs of two or three tasks end far apart across changes of leader: what is done stays done, and is not
+/// started again.
+#[test]
+fn the_tasks_of_a_small_job_end_under_different_leaders_and_each_runs_once() {
+    let mut play = Play::start();
+    let mut workers: Vec<ScriptedWorker> = (1..=3).map(|n| small(&format!("m-{n}"), "a")).collect();
+    let id = play.submit(job("req-000001", "array", 3));
+    play.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    for term in 2..=4 {
+        let n = term as usize - 2;
+        let task = workers[n].live()[0].clone();
+        workers[n].end(&task, Cause::Done);
+        play.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+        let over = play.stored_final(&id);
+        assert_eq!(over.is_some(), term == 4, "done with the last one only");
+        play = Play::lead(play.store.clone(), term, play.now + 6_000);
+    }
+    assert_eq!(play.stored_final(&id).as_deref(), Some("done"));
+    let started: usize = workers.iter().map(|w| w.started.len()).sum();
+    assert_eq!(started, 3, "none ran a second time");
+}
+
+/// All controllers are away for longer than a worker's lease: all work begins anew, once.
+#[test]
+fn after_all_controllers_were_away_for_longer_than_a_lease_everything_runs_again_once() {
+    let mut play = Play::start();
+    let mut workers: Vec<ScriptedWorker> = (1..=3).map(|n| small(&format!("m-{n}"), "a")).collect();
+    let id = play.submit(job("req-000001", "array", 3));
+    play.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    let old: Vec<_> = workers.iter_mut().map(ScriptedWorker::report).collect();
+    workers.iter_mut().for_each(ScriptedWorker::expire);
+    let mut next = Play::lead(play.store.clone(), 2, play.now + 30_000);
+    // Copies from before the silence come first.
+    for report in &old {
+        next.ledger.check_in(report, next.now);
+    }
+    for _ in 0..4 {
+        next.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    }
+    assert!(workers.iter().all(|w| w.live().len() == 1), "each has a task again");
+    let attempts: std::collections::BTreeSet<_> = workers.iter().flat_map(|w| &w.started).collect();
+    assert_eq!(attempts.len(), 6, "no attempt number was used twice");
+    for w in &mut workers {
+        w.end(&w.live()[0].clone(), Cause::Done);
+    }
+    next.settle(&mut workers.iter_mut().collect::<Vec<_>>());
+    assert_eq!(next.stored_final(&id).as_deref(), Some("done"));
+}
