--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -41,6 +41,8 @@
     let mut rented: Vec<(usize, Room)> = Vec::new();
     let mut used: Vec<Room> = world.teams.iter().map(|t| t.used).collect();
     // Work is laid out on cheap machines first, so that dear ones are the ones to return.
+    let yards = world.hosts.iter().map(|h| h.yard).chain(offers.iter().map(|o| o.yard));
+    let zones = yards.max().map_or(0, |last| last + 1);
     let least = least_need(&world.jobs);
     let mut by_price: Vec<usize> =
         (0..world.hosts.len()).filter(|i| free[*i].fits(&least)).collect();
@@ -68,7 +70,7 @@
             }
         }
         by_price.retain(|i| free[*i].fits(&least));
-        let mut open = open_zones(world, job_ix, short, &by_price, &free, offers);
+        let mut open = open_zones(world, job_ix, zones, short, &by_price, &free, offers);
         for &i in &by_price {
             let host = &world.hosts[i];
             if short == 0 {
@@ -138,14 +140,13 @@
 fn open_zones(
     world: &World,
     job_ix: usize,
+    zones: usize,
     short: u32,
     hosts: &[usize],
     free: &[Room],
     offers: &[Offer],
 ) -> Vec<u32> {
     let job = &world.jobs[job_ix];
-    let yards = world.hosts.iter().map(|h| h.yard).chain(offers.iter().map(|o| o.yard));
-    let zones = yards.max().map_or(0, |last| last + 1);
     let here = |zone: usize| job.per_zone.get(zone).copied().unwrap_or(0);
     let mut open: Vec<u32> = (0..zones).map(|z| job.zone_cap.saturating_sub(here(z))).collect();
     if !job.together || job.pieces <= 1 {
