--- a/crates/controller/tests/world/machines.rs
+++ b/crates/controller/tests/world/machines.rs
@@ -202,7 +202,7 @@
 
     /// Troubles of one machine.
     fn strike(&mut self, m: usize) {
-        if self.plot.is_some() || !self.chance(3) {
+        if self.scenario.is_some() || !self.chance(3) {
             return;
         }
         let until = self.now + self.span(1_000, 45_000);
--- a/crates/controller/tests/world/mod.rs
+++ b/crates/controller/tests/world/mod.rs
@@ -8,7 +8,7 @@
 
 mod controllers;
 mod machines;
-mod plots;
+mod scenarios;
 mod users;
 
 use controllers::Controller;
@@ -18,10 +18,10 @@
 use hookway_testkit::MemoryStore;
 use hookway_wire::{CheckIn, CheckInAnswer, DirectOrders, JobId, JobSpec, Transaction};
 use machines::Machine;
-pub use plots::Meeting;
-use plots::Plot;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+pub use scenarios::Meeting;
+use scenarios::Scenario;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Troubles end here, ms.
@@ -140,7 +140,7 @@
     sent: u64,
     /// How often leaders are struck: on some days it takes long until one is.
     unrest: u32,
-    plot: Option<Plot>,
+    scenario: Option<Scenario>,
     pub jobs: Vec<JobSpec>,
     told: BTreeMap<JobId, Told>,
     done: BTreeSet<String>,
@@ -171,7 +171,7 @@
             machines: (1..=6).map(|n| Machine::new(n, 0)).collect(),
             queue: BTreeMap::new(),
             sent: 0,
-            plot: None,
+            scenario: None,
             unrest: if seed.is_multiple_of(2) { 20 } else { 4 },
             jobs: Vec::new(),
             told: BTreeMap::new(),
@@ -181,16 +181,16 @@
     }
 
     /// A day on which one meeting is brought about, and nothing else strikes whole controllers or zones.
-    pub fn with(plot: Meeting, seed: u64) -> Self {
+    pub fn with(meeting: Meeting, seed: u64) -> Self {
         let mut world = Self::new(seed);
         let at = world.span(45_000, 60_000);
-        world.plot = Some(Plot { meeting: plot, at, leader: 0, away_at: 0 });
+        world.scenario = Some(Scenario { meeting, at, leader: 0, away_at: 0 });
         world
     }
 
     /// The tasks of some run for longer than a cancellation may take.
     fn long(&self, id: &str) -> bool {
-        self.plot.is_some() || id.bytes().next_back().is_some_and(|b| b == b'3' || b == b'8')
+        self.scenario.is_some() || id.bytes().next_back().is_some_and(|b| b == b'3' || b == b'8')
     }
 
     fn chance(&mut self, per_mille: u32) -> bool {
@@ -286,8 +286,8 @@
     /// What strikes whole zones and controllers.
     fn trouble(&mut self) {
         let now = self.now;
-        if self.plot.is_some() {
-            self.thicken();
+        if self.scenario.is_some() {
+            self.run_scenario();
             return self.calm_down();
         }
         if self.chance(3) {
@@ -371,7 +371,7 @@
             }
             Message::Over(n, from, id) => {
                 // Nothing may depend on it.
-                let lost = self.plot.as_ref().is_some_and(|p| p.meeting != Meeting::Gap);
+                let lost = self.scenario.as_ref().is_some_and(|p| p.meeting != Meeting::Gap);
                 if !lost && self.peers_linked(from, n) {
                     self.controllers[n].over.insert(id);
                 }
--- a/crates/controller/tests/world/plots.rs
+++ b/crates/controller/tests/world/scenarios.rs
@@ -23,7 +23,7 @@
     Holder,
 }
 
-pub(super) struct Plot {
+pub(super) struct Scenario {
     pub meeting: Meeting,
     /// When it begins, ms.
     pub at: u64,
@@ -35,20 +35,20 @@
 
 impl World {
     /// What strikes, and when.
-    pub(super) fn thicken(&mut self) {
+    pub(super) fn run_scenario(&mut self) {
         let now = self.now;
-        let Some(plot) = &self.plot else { return };
-        if now < plot.at {
+        let Some(scenario) = &self.scenario else { return };
+        if now < scenario.at {
             return;
         }
-        let meeting = plot.meeting;
-        if plot.away_at == 0 {
+        let meeting = scenario.meeting;
+        if scenario.away_at == 0 {
             let Some(leader) = self.lead.as_ref().map(|l| l.node) else { return };
             let away_at = match meeting {
                 Meeting::Holder => now + self.span(3_000, 7_000),
                 _ => now + self.span(5_000, 9_000),
             };
-            self.plot = Some(Plot { meeting, at: now, leader, away_at });
+            self.scenario = Some(Scenario { meeting, at: now, leader, away_at });
             let node = &mut self.controllers[leader];
             match meeting {
                 Meeting::Gap | Meeting::GapApart => {
@@ -67,25 +67,26 @@
                     far.for_each(|m| m.cut_from = Some((leader, now + LONG)));
                 }
             }
-        } else if now >= plot.away_at && now < plot.away_at + 100 {
+        } else if now >= scenario.away_at && now < scenario.away_at + 100 {
             self.outage_until = now + AWAY;
             if meeting == Meeting::Holder {
                 // Nothing but the block's lease speaks for the holder from now on.
-                let leader = plot.leader;
+                let leader = scenario.leader;
                 self.controllers[leader].no_peers_until = now + LONG;
             }
         }
     }
 
     /// Users withdraw everything, at whichever controller, once it matters.
-    pub(super) fn withdraw_in_plot(&mut self) {
+    pub(super) fn withdraw_in_scenario(&mut self) {
         let now = self.now;
-        let Some(plot) = self.plot.as_ref().filter(|p| p.away_at > 0 && now < p.away_at) else {
+        let Some(scenario) = self.scenario.as_ref().filter(|p| p.away_at > 0 && now < p.away_at)
+        else {
             return;
         };
-        let (meeting, leader) = (plot.meeting, plot.leader);
+        let (meeting, leader) = (scenario.meeting, scenario.leader);
         let ready = match meeting {
-            Meeting::Holder => now < plot.at + 2_000,
+            Meeting::Holder => now < scenario.at + 2_000,
             _ => self.lead.as_ref().is_none_or(|l| l.node != leader),
         };
         if !ready {
--- a/crates/controller/tests/world/users.rs
+++ b/crates/controller/tests/world/users.rs
@@ -15,7 +15,7 @@
 
 impl World {
     pub(super) fn submit(&mut self) {
-        let most = if self.plot.is_some() { 14 } else { 40 };
+        let most = if self.scenario.is_some() { 14 } else { 40 };
         if self.jobs.len() >= most || !self.chance(30) {
             return;
         }
@@ -66,8 +66,8 @@
                 (0..NODES.len()).for_each(|n| self.withdraw_at(n, &id));
             }
         }
-        if self.plot.is_some() {
-            self.withdraw_in_plot();
+        if self.scenario.is_some() {
+            self.withdraw_in_scenario();
         }
         let n = self.rng.random_range(0..self.jobs.len());
         let id = self.jobs[n].name_id.clone();
@@ -77,7 +77,7 @@
         // More of them while a controller is refused or cut off, and most while nobody leads.
         let odd = self.controllers.iter().any(|c| self.now < c.no_store_until);
         let rate = match (&self.lead, odd) {
-            _ if self.plot.is_some() => 0,
+            _ if self.scenario.is_some() => 0,
             (None, _) => 250,
             (_, true) => 25,
             _ => 5,
