Users of a controller that the store refuses alone are answered through the others

Questions and cancellations at such a controller got 503 for as long as it lasted, up to every poll of a user whose connection stays there; only submissions went to the others. Now all three do, and a controller answers another one from its own reading of the state service, or cancels on the condition that nobody leads. Test in tests/node.rs.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -262,8 +262,7 @@
         let lead = mine.is_some();
         match mine {
             Some(Lookup::Known(status)) => return self.known(status.into()),
-            None if from_peer => return later("this node does not lead"),
-            None => {
+            None if !from_peer => {
                 let ask = PeerAsk::Status(id.to_string());
                 if let Some(verdict) = self.ask_leader(&ask, constants::PEER_TIMEOUT_MS).await {
                     return verdict;
@@ -281,7 +280,7 @@
                 Verdict::Known(told)
             }
             Ok(Stored::Nothing) => Verdict::Absent,
-            Err(e) => Verdict::Later(e.to_string()),
+            Err(e) => self.elsewhere(PeerAsk::Status(id.to_string()), &e, from_peer).await,
         }
     }
 
@@ -308,31 +307,33 @@
                     }
                     Err(e) => return Verdict::Later(e.to_string()),
                 },
-                None if from_peer => return later("this node does not lead"),
                 None => break,
             }
         }
         let ask = PeerAsk::Withdraw(id.to_string());
-        if let Some(verdict) = self.ask_leader(&ask, constants::STATUS_LIMIT_MS).await {
+        if !from_peer && let Some(verdict) = self.ask_leader(&ask, constants::STATUS_LIMIT_MS).await
+        {
             return verdict;
         }
-        self.withdraw_without_leader(id).await
+        match self.withdraw_without_leader(id).await {
+            Ok(verdict) => verdict,
+            Err(e) => self.elsewhere(ask, &e, from_peer).await,
+        }
     }
 
-    async fn withdraw_without_leader(&self, id: &JobId) -> Verdict {
+    async fn withdraw_without_leader(&self, id: &JobId) -> Result<Verdict, StoreError> {
         // Whoever led may have answered workers a moment ago, and nobody can tell whether their tasks are gone.
         if !leases_end_in_time(&self.params) {
-            return later("without a leader its tasks may not be gone in time");
+            return Ok(later("without a leader its tasks may not be gone in time"));
         }
-        let value = match Self::stored(&self.stores.submissions, id).await {
-            Ok(Stored::Over(told)) => return self.known(told),
-            Ok(Stored::Nothing) => return Verdict::Absent,
-            Ok(Stored::Open(_, value)) => value,
-            Err(e) => return Verdict::Later(e.to_string()),
+        let value = match Self::stored(&self.stores.submissions, id).await? {
+            Stored::Over(told) => return Ok(self.known(told)),
+            Stored::Nothing => return Ok(Verdict::Absent),
+            Stored::Open(_, value) => value,
         };
         let owner = self.queued(id, &value).owner.unwrap_or_default();
         let record = FinalRecord { state: JobState::Withdrawn, done: 0, owner, notes: vec![] };
-        let Ok(v) = serde_json::to_value(&record) else { return later("internal") };
+        let Ok(v) = serde_json::to_value(&record) else { return Ok(later("internal")) };
         let transaction = Transaction {
             guards: vec![
                 Guard { key: LEAD_NOW.into(), stamp: 0 },
@@ -340,11 +341,10 @@
             ],
             apply: vec![Change::put(final_key(id), v), Change::delete(job_key(id))],
         };
-        match self.stores.submissions.commit(&transaction).await {
-            Ok(CommitOutcome::Applied(_)) => self.cancelled(record.status(id).into()),
-            Ok(CommitOutcome::Refused(_)) => later("the job's leader can't be reached"),
-            Err(e) => Verdict::Later(e.to_string()),
-        }
+        Ok(match self.stores.submissions.commit(&transaction).await? {
+            CommitOutcome::Applied(_) => self.cancelled(record.status(id).into()),
+            CommitOutcome::Refused(_) => later("the job's leader can't be reached"),
+        })
     }
 
     /// Whether a job can run at all; `None` if that can't be told yet.
@@ -426,27 +426,28 @@
                     Ok(Stored::Open(..)) => Verdict::Accepted(self.queued(&id, &value)),
                     Ok(Stored::Over(told)) => self.known(told),
                     Ok(Stored::Nothing) => later("the state service did not answer"),
-                    Err(e) => Verdict::Later(e.to_string()),
+                    // Accepted twice is accepted once: one of the two fails by its guards.
+                    Err(e) => self.elsewhere(PeerAsk::Submit(body.to_vec()), &e, from_peer).await,
                 }
             }
-            // The limits are everybody's: another controller would ask for the same.
-            Err(e) if from_peer || matches!(e, StoreError::TooMany) => {
-                Verdict::Later(e.to_string())
-            }
-            Err(e) => self.submit_elsewhere(body, &e.to_string()).await,
+            Err(e) => self.elsewhere(PeerAsk::Submit(body.to_vec()), &e, from_peer).await,
         }
     }
 
-    /// The state service may refuse this node alone: another one may get through.
-    async fn submit_elsewhere(&self, body: &[u8], why: &str) -> Verdict {
-        let ask = PeerAsk::Submit(body.to_vec());
-        for name in self.peers.names() {
-            match self.peers.ask(&name, &ask, constants::PEER_TIMEOUT_MS).await {
-                Ok(Verdict::Later(_)) | Err(_) => {}
-                Ok(verdict) => return verdict,
+    /// The state service may refuse this node alone, or not be reached from here: another one may get through.
+    async fn elsewhere(&self, ask: PeerAsk, why: &StoreError, from_peer: bool) -> Verdict {
+        // The limits are everybody's: another controller would ask for the same.
+        if !from_peer && !matches!(why, StoreError::TooMany) {
+            for name in self.peers.names() {
+                match self.peers.ask(&name, &ask, constants::PEER_TIMEOUT_MS).await {
+                    Ok(Verdict::Known(told)) => return self.known(told),
+                    Ok(Verdict::Later(reason)) => tracing::debug!("{name}: {reason}"),
+                    Ok(verdict) => return verdict,
+                    Err(e) => tracing::debug!("asking {name}: {e}"),
+                }
             }
         }
-        later(why)
+        Verdict::Later(why.to_string())
     }
 
     /// Answers another controller, from this node's own knowledge.
--- a/crates/controller/tests/node.rs
+++ b/crates/controller/tests/node.rs
@@ -8,7 +8,7 @@
 use hookway_controller::holders::Holding;
 use hookway_controller::lead::{Clock, Leadership, Validity, View};
 use hookway_controller::ledger::Setup;
-use hookway_controller::node::Node;
+use hookway_controller::node::{Ask, Node};
 use hookway_controller::peers::{self, Peers};
 use hookway_controller::records::final_key;
 use hookway_testkit::{SETTINGS, StoreServer, flavors};
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
 const JOB: &str = r#"{"NameId":"req-000412","Lane":"train","Owner":"vision","Shape":"array","Rank":"high",
@@ -105,7 +105,13 @@
     let verdict = one.desk.submit(JOB.as_bytes(), false).await;
     assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
     let id = JobId::parse("req-000412").expect("an id");
-    while !matches!(one.desk.status(&id, true).await, Verdict::Known(_)) {
+    // Its ledger has been loaded.
+    let known = async || {
+        let (reply, answer) = oneshot::channel();
+        one.desk.node.send(Ask::Status(id.clone(), reply)).await.expect("the actor lives");
+        answer.await.expect("an answer").is_some()
+    };
+    while !known().await {
         tokio::task::yield_now().await;
     }
     id
@@ -169,3 +175,33 @@
     };
     LocalSet::new().run_until(work).await;
 }
+
+/// A controller that the state service refuses alone serves its users through the others, whether one of them
+/// leads or nobody does: its users would be told nothing for as long as it lasts.
+#[tokio::test]
+async fn users_of_a_controller_that_the_store_refuses_are_answered_through_the_others() {
+    let work = async {
+        let server = StoreServer::default();
+        let address = server.start().await.expect("a free port");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let there = listener.local_addr().expect("bound").to_string();
+        // Nobody leads at first.
+        let two = start("two", &address, &[], false).await;
+        tokio::spawn(peers::serve(listener, two.desk.clone()));
+        let one = start("one", NOWHERE, &[("two", &there)], false).await;
+        let first = JobId::parse("req-000412").expect("an id");
+        let verdict = within(one.desk.submit(JOB.as_bytes(), false)).await;
+        assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+        let verdict = within(one.desk.status(&first, false)).await;
+        assert!(matches!(verdict, Verdict::Known(told) if told.state == JobState::Queued));
+        let verdict = within(one.desk.withdraw(&first, false)).await;
+        assert!(matches!(verdict, Verdict::Known(told) if told.state == JobState::Withdrawn));
+        let absent = JobId::parse("req-000999").expect("an id");
+        assert_eq!(within(one.desk.status(&absent, false)).await, Verdict::Absent);
+        // While the state service is away for all, nobody knows.
+        server.refuse(true);
+        let verdict = within(one.desk.status(&absent, false)).await;
+        assert!(matches!(verdict, Verdict::Later(_)), "{verdict:?}");
+    };
+    LocalSet::new().run_until(work).await;
+}
