--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -61,7 +61,8 @@
 /// The same share for questions, while no leader answers them. What is beyond it is asked again in a few
 /// seconds anyway.
 pub const POLL_REQUEST_SHARE: f64 = 0.12;
-/// A controller that did not answer is not waited for again for this long, ms; then one question tries.
+/// A controller, or the state service, that did not answer is not waited for again for this long, ms; then one
+/// question tries.
 pub const PEER_SILENT_MS: u64 = 1_000;
 /// The same for the leadership, which must not wait behind the rest.
 pub const LEADERSHIP_REQUEST_SHARE: f64 = 0.1;
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -7,7 +7,7 @@
 use crate::node::{Ask, CheckInReply};
 use crate::peers::{PeerAnswer, PeerAsk, Peers};
 use crate::records::{FinalRecord, JobRecord, LEAD_NOW, final_key, job_key};
-use hookway_clients::{CommitOutcome, StoreClient, StoreError};
+use hookway_clients::{CommitOutcome, HttpError, StoreClient, StoreError};
 use hookway_constants as constants;
 use hookway_policy::{Room, TeamView, fits_somewhere};
 use hookway_wire::{
@@ -19,8 +19,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
 /// A job's state, as controllers tell it one another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -145,6 +146,8 @@
     pub finals: Arc<Finals>,
     limiter: Limiter,
     poll_limiter: Limiter,
+    /// When the state service did not answer, or was asked again since.
+    store_silent: Mutex<Option<Instant>>,
 }
 
 /// What the state service says of a job.
@@ -174,7 +177,19 @@
         let poll_limiter = Limiter::new(most as usize);
         let finals = Arc::default();
         let peers = Arc::new(peers);
-        Self { params, label, stores, peers, node, view, flavors, finals, limiter, poll_limiter }
+        Self {
+            params,
+            label,
+            stores,
+            peers,
+            node,
+            view,
+            flavors,
+            finals,
+            limiter,
+            poll_limiter,
+            store_silent: Mutex::default(),
+        }
     }
 
     fn known(&self, told: Told) -> Verdict {
@@ -227,7 +242,31 @@
     /// goes in the same transaction in which the final state comes, so a job that was accepted is seen in
     /// one or the other. Once the first reading had its turn, the second one waits for its own: half an
     /// answer would have been asked for in vain.
-    async fn stored(store: &StoreClient, id: &JobId) -> Result<Stored, StoreError> {
+    async fn stored(&self, store: &StoreClient, id: &JobId) -> Result<Stored, StoreError> {
+        if !self.store_worth_asking() {
+            return Err(StoreError::Unknown(HttpError::Timeout));
+        }
+        let read = Self::read(store, id).await;
+        if let Ok(mut silent) = self.store_silent.lock() {
+            let timeout = matches!(read, Err(StoreError::Unknown(HttpError::Timeout)));
+            *silent = timeout.then(Instant::now);
+        }
+        read
+    }
+
+    /// Whether a user should wait for the state service. While it says nothing to this node, each question
+    /// would take its whole time limit, and leave none to ask another controller; so one in a while does.
+    fn store_worth_asking(&self) -> bool {
+        let Ok(mut silent) = self.store_silent.lock() else { return true };
+        let Some(since) = silent.as_mut() else { return true };
+        let again = since.elapsed() >= Duration::from_millis(constants::PEER_SILENT_MS);
+        if again {
+            *since = Instant::now();
+        }
+        again
+    }
+
+    async fn read(store: &StoreClient, id: &JobId) -> Result<Stored, StoreError> {
         if let Some(kv) = store.get(&job_key(id)).await? {
             return Ok(Stored::Open(kv.key, kv.v));
         }
@@ -270,7 +309,7 @@
             }
             _ => {}
         }
-        match Self::stored(&self.stores.questions, id).await {
+        match self.stored(&self.stores.questions, id).await {
             Ok(Stored::Over(told)) => self.known(told),
             Ok(Stored::Open(key, value)) => {
                 let told = self.queued(id, &value);
@@ -298,15 +337,16 @@
                 Some(Withdrawal::Unproven) => {
                     return later("its tasks may not be gone in time yet");
                 }
-                Some(Withdrawal::NotHere) => match Self::stored(&self.stores.submissions, id).await
-                {
-                    Ok(Stored::Over(told)) => return self.known(told),
-                    Ok(Stored::Nothing) => return Verdict::Absent,
-                    Ok(Stored::Open(key, value)) => {
-                        self.ask(|r| Ask::Adopt(term, key, value, r)).await;
+                Some(Withdrawal::NotHere) => {
+                    match self.stored(&self.stores.submissions, id).await {
+                        Ok(Stored::Over(told)) => return self.known(told),
+                        Ok(Stored::Nothing) => return Verdict::Absent,
+                        Ok(Stored::Open(key, value)) => {
+                            self.ask(|r| Ask::Adopt(term, key, value, r)).await;
+                        }
+                        Err(e) => return Verdict::Later(e.to_string()),
                     }
-                    Err(e) => return Verdict::Later(e.to_string()),
-                },
+                }
                 None => break,
             }
         }
@@ -326,7 +366,7 @@
         if !leases_end_in_time(&self.params) {
             return Ok(later("without a leader its tasks may not be gone in time"));
         }
-        let value = match Self::stored(&self.stores.submissions, id).await? {
+        let value = match self.stored(&self.stores.submissions, id).await? {
             Stored::Over(told) => return Ok(self.known(told)),
             Stored::Nothing => return Ok(Verdict::Absent),
             Stored::Open(_, value) => value,
@@ -394,7 +434,7 @@
             Some(Ok(())) => {}
             Some(Err(why)) => {
                 // What was accepted once is never refused later.
-                return match Self::stored(&self.stores.submissions, &id).await {
+                return match self.stored(&self.stores.submissions, &id).await {
                     Ok(Stored::Nothing) => Verdict::Refused(422, why),
                     Ok(_) => self.status(&id, from_peer).await,
                     Err(e) => Verdict::Later(e.to_string()),
@@ -422,7 +462,7 @@
             Ok(CommitOutcome::Refused(_)) => self.status(&id, from_peer).await,
             // No answer: it may have been applied, or may be later. Read, never assume.
             Err(StoreError::Unknown(_)) => {
-                match Self::stored(&self.stores.submissions, &id).await {
+                match self.stored(&self.stores.submissions, &id).await {
                     Ok(Stored::Open(..)) => Verdict::Accepted(self.queued(&id, &value)),
                     Ok(Stored::Over(told)) => self.known(told),
                     Ok(Stored::Nothing) => later("the state service did not answer"),
@@ -593,7 +633,7 @@
             }
         };
         match self.0.check_in(report).await {
-            CheckInReply::Answer(answer, until) if tokio::time::Instant::now() < until => {
+            CheckInReply::Answer(answer, until) if Instant::now() < until => {
                 res.status_code(StatusCode::OK);
                 res.render(Json(answer));
             }
--- a/crates/controller/tests/api.rs
+++ b/crates/controller/tests/api.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
 
 use hookway_clients::StoreClient;
-use hookway_controller::api::{Desk, Stores, service};
+use hookway_controller::api::{Desk, Stores, Verdict, service};
 use hookway_controller::config::Settings;
 use hookway_controller::lead::View;
 use hookway_controller::ledger::{Lookup, Withdrawal};
@@ -348,3 +348,25 @@
     assert!(matches!(peers.ask("worker-1", &ask, 600).await, Err(PeerError::Timeout)), "one tries");
     assert!(matches!(peers.ask("worker-1", &ask, 600).await, Err(PeerError::Silent)));
 }
+
+/// The same for a state service that says nothing to this controller: without this a question took its whole time
+/// limit there, and none was left to ask another controller.
+#[tokio::test(start_paused = true)]
+async fn a_silent_state_service_is_waited_for_once_in_a_while_only() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let desk = desk(Node::Follows, true, View::default(), Some(&address), 2000.0);
+    let id = JobId::parse("req-000001").expect("an id");
+    let took = async || {
+        let begun = Instant::now();
+        let verdict = desk.status(&id, false).await;
+        assert!(matches!(verdict, Verdict::Later(_)), "{verdict:?}");
+        begun.elapsed()
+    };
+    assert!(took().await >= Duration::from_secs(1));
+    for _ in 0..10 {
+        assert!(took().await < Duration::from_millis(50));
+    }
+    tokio::time::advance(Duration::from_millis(1_100)).await;
+    assert!(took().await >= Duration::from_secs(1), "one tries");
+}
