--- a/crates/controller/tests/meetings.rs
+++ b/crates/controller/tests/meetings.rs
@@ -177,6 +177,7 @@
     let mut play = Play::start();
     let (mut left, mut right) = (small("m-1", "a"), small("m-2", "b"));
     play.submit(job("req-000001", "array", 1));
+    let older = left.report();
     play.settle(&mut [&mut left]);
     assert_eq!(left.live().len(), 1);
     let (old, empty) = (left.report(), right.report());
@@ -188,14 +189,16 @@
     }
     let mut next = Play::lead(play.store.clone(), 2, play.now + 6_000);
     // Copies come first; their answers reach nobody.
-    next.ledger.check_in(&old, next.now);
-    next.ledger.check_in(&empty, next.now);
-    next.wait(500);
     let mut spare = small("m-3", "a");
+    next.ledger.check_in(&older, next.now);
+    next.ledger.check_in(&empty, next.now);
     for _ in 0..4 {
         next.settle(&mut [&mut spare]);
         assert_eq!(spare.started, [], "it runs on m-2, which was not heard yet");
     }
+    next.ledger.check_in(&old, next.now);
+    next.settle(&mut [&mut spare]);
+    assert_eq!(spare.started, []);
     next.settle(&mut [&mut left, &mut right, &mut spare]);
     next.settle(&mut [&mut left, &mut right, &mut spare]);
     let live: usize = [&left, &right, &spare].iter().map(|w| w.live().len()).sum();
