--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -152,8 +152,8 @@
     if !job.together || job.pieces <= 1 {
         return open;
     }
-    // In one zone: where it is, or where all of it has room, or where the most of it has and more can be
-    // rented.
+    // In one zone: where it is; else where there is room for all of a gang, or a good part of an array; else
+    // where more can be rented.
     let room = |zone: usize| -> u32 {
         let there = hosts.iter().filter(|i| world.hosts[**i].yard == zone);
         there
@@ -165,7 +165,8 @@
     };
     let best = (0..zones).max_by_key(|zone| {
         let room = room(*zone).min(short);
-        (here(*zone), room == short, rentable(*zone), room)
+        let enough = if job.gang { short } else { short.div_ceil(4) };
+        (here(*zone), room >= enough, rentable(*zone), room)
     });
     for (zone, open) in open.iter_mut().enumerate() {
         if Some(zone) != best {
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -38,3 +38,16 @@
     let whole = world(vec![together], vec![host(0), host(1), host(1), host(1)]);
     assert_eq!(plan_fleet(&whole, &offers).rent, []);
 }
+
+/// An array that is bound to one zone uses what it gets there; machines elsewhere would be rented in vain.
+#[test]
+fn an_array_that_must_be_together_gets_no_machines_in_a_second_zone() {
+    let offers = [1].map(|yard| Offer { flavor: 0, yard, loaner: false, price: 1.0 });
+    let rented = |pieces: u32| {
+        let together = crate::JobView { together: true, ..job(3.0, pieces) };
+        let w = world(vec![together], vec![host(0), host(0), host(1)]);
+        plan_fleet(&w, &offers).rent.iter().map(|r| r.count).sum::<u32>()
+    };
+    assert_eq!(rented(8), 0, "zone 0 has room for a good part of it, and is sold out");
+    assert!(rented(60) > 10, "for more than zone 0 will ever hold zone 1 is better");
+}
