--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -45,7 +45,7 @@
     let offers = [1].map(|yard| Offer { flavor: 0, yard, loaner: false, price: 1.0 });
     let rented = |pieces: u32| {
         let together = crate::JobView { together: true, ..job(3.0, pieces) };
-        let w = world(vec![together], vec![host(0), host(0), host(1)]);
+        let w = world(vec![together], vec![host(0), host(0)]);
         plan_fleet(&w, &offers).rent.iter().map(|r| r.count).sum::<u32>()
     };
     assert_eq!(rented(8), 0, "zone 0 has room for a good part of it, and is sold out");
