One piece tells for controllers and the state service alike who is silent

The desk had written again for the state service what the link already did for controllers; both use Silence now. Loading records says once which ones belong to no accepted job. Behaviour is as it was.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -7,6 +7,7 @@
 use crate::node::{Ask, CheckInReply};
 use crate::peers::{PeerAnswer, PeerAsk, Peers};
 use crate::records::{FinalRecord, JobRecord, LEAD_NOW, final_key, job_key};
+use crate::silence::Silence;
 use hookway_clients::{CommitOutcome, HttpError, StoreClient, StoreError};
 use hookway_constants as constants;
 use hookway_policy::{Room, TeamView, fits_somewhere};
@@ -146,8 +147,7 @@
     pub finals: Arc<Finals>,
     limiter: Limiter,
     poll_limiter: Limiter,
-    /// When the state service did not answer, or was asked again since.
-    store_silent: Mutex<Option<Instant>>,
+    store_silence: Mutex<Silence>,
 }
 
 /// What the state service says of a job.
@@ -188,7 +188,7 @@
             finals,
             limiter,
             poll_limiter,
-            store_silent: Mutex::default(),
+            store_silence: Mutex::default(),
         }
     }
 
@@ -243,29 +243,19 @@
     /// one or the other. Once the first reading had its turn, the second one waits for its own: half an
     /// answer would have been asked for in vain.
     async fn stored(&self, store: &StoreClient, id: &JobId) -> Result<Stored, StoreError> {
-        if !self.store_worth_asking() {
+        // While it says nothing to this node no time would be left to ask another controller.
+        if let Ok(mut silence) = self.store_silence.lock()
+            && !silence.worth_asking()
+        {
             return Err(StoreError::Unknown(HttpError::Timeout));
         }
         let read = Self::read(store, id).await;
-        if let Ok(mut silent) = self.store_silent.lock() {
-            let timeout = matches!(read, Err(StoreError::Unknown(HttpError::Timeout)));
-            *silent = timeout.then(Instant::now);
+        if let Ok(mut silence) = self.store_silence.lock() {
+            silence.note(matches!(read, Err(StoreError::Unknown(HttpError::Timeout))));
         }
         read
     }
 
-    /// Whether a user should wait for the state service. While it says nothing to this node, each question
-    /// would take its whole time limit, and leave none to ask another controller; so one in a while does.
-    fn store_worth_asking(&self) -> bool {
-        let Ok(mut silent) = self.store_silent.lock() else { return true };
-        let Some(since) = silent.as_mut() else { return true };
-        let again = since.elapsed() >= Duration::from_millis(constants::PEER_SILENT_MS);
-        if again {
-            *since = Instant::now();
-        }
-        again
-    }
-
     async fn read(store: &StoreClient, id: &JobId) -> Result<Stored, StoreError> {
         if let Some(kv) = store.get(&job_key(id)).await? {
             return Ok(Stored::Open(kv.key, kv.v));
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -294,6 +294,7 @@
         // Of a job whose record can't be read nothing is thrown away: a later version may read it.
         let accepted: HashSet<JobId> =
             loaded.jobs.iter().filter_map(|kv| job_of_key(&kv.key)).collect();
+        let orphan = |key: &str| job_of_key(key).is_none_or(|id| !accepted.contains(&id));
         for kv in loaded.jobs {
             self.job_seen(&kv.key, kv.v, at, true);
         }
@@ -314,8 +315,8 @@
                     tracing::error!("{}: the progress record can't be read: {e}", kv.key);
                     self.learn_progress(job, chunk, kv.stamp, None);
                 }
-                (None, _) if job_of_key(&kv.key).is_some_and(|id| accepted.contains(&id)) => {}
-                (None, _) => self.writer.trash(kv.key),
+                (None, _) if orphan(&kv.key) => self.writer.trash(kv.key),
+                (None, _) => {}
             }
         }
         let mut unread_marks = false;
@@ -334,10 +335,9 @@
                 }
                 continue;
             }
-            let id = job_of_key(&kv.key);
-            let known = id.as_ref().and_then(|id| self.by_id.get(id));
+            let known = job_of_key(&kv.key).and_then(|id| self.by_id.get(&id));
             let Some(job) = known.and_then(|k| self.jobs.get_mut(k)) else {
-                if id.is_none_or(|id| !accepted.contains(&id)) {
+                if orphan(&kv.key) {
                     self.writer.trash(kv.key);
                 }
                 continue;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peers;
 pub mod records;
 pub mod run;
+mod silence;
 
 pub use config::{ConfigError, OperatorSettings, Settings};
 pub use ledger::Ledger;
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -3,6 +3,7 @@
 
 use crate::api::{Desk, Told, Verdict};
 use crate::holders::{BlockLease, Renewal};
+use crate::silence::Silence;
 use hookway_constants as constants;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -10,7 +11,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::Instant;
 
 /// What one controller asks another. Answered from the other's own knowledge; never passed on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,8 +92,7 @@
 pub struct Peers {
     addresses: HashMap<String, String>,
     idle: Mutex<HashMap<String, Vec<TcpStream>>>,
-    /// Those that did not answer, with when that was or one was asked again.
-    silent: Mutex<HashMap<String, Instant>>,
+    silent: Mutex<HashMap<String, Silence>>,
 }
 
 impl Peers {
@@ -139,17 +138,11 @@
         }
     }
 
-    /// Whether a user should wait for this controller's answer. One that stands still or is cut off says
-    /// nothing, and each question to it would take its whole time limit; so only one in a while does. The
-    /// renewals of this node's block tell as well that it is back.
+    /// Whether a user should wait for this controller's answer: it may stand still or be cut off. The renewals of
+    /// this node's block tell as well that it is back.
     fn worth_asking(&self, name: &str) -> bool {
         let Ok(mut silent) = self.silent.lock() else { return true };
-        let Some(since) = silent.get_mut(name) else { return true };
-        let again = since.elapsed() >= Duration::from_millis(constants::PEER_SILENT_MS);
-        if again {
-            *since = Instant::now();
-        }
-        again
+        silent.get_mut(name).is_none_or(Silence::worth_asking)
     }
 
     /// One exchange.
@@ -161,10 +154,7 @@
     ) -> Result<PeerAnswer, PeerError> {
         let answer = self.attempt(name, ask, limit_ms).await;
         if let Ok(mut silent) = self.silent.lock() {
-            match &answer {
-                Ok(_) => drop(silent.remove(name)),
-                Err(_) => drop(silent.insert(name.to_owned(), Instant::now())),
-            }
+            silent.entry(name.to_owned()).or_default().note(answer.is_err());
         }
         answer
     }
--- /dev/null
+++ b/crates/controller/src/silence.rs
@@ -0,0 +1,27 @@
+//! Who has not answered, so that users need not wait for it again and again.
+
+use hookway_constants as constants;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Whether somebody has been silent since it was asked last. Each question to it would take its whole time limit,
+/// so only one in a while is asked.
+#[derive(Debug, Default)]
+pub struct Silence(Option<Instant>);
+
+impl Silence {
+    /// It did not answer, or it did.
+    pub fn note(&mut self, silent: bool) {
+        self.0 = silent.then(Instant::now);
+    }
+
+    /// Whether a user should wait for its answer; `true` once in a while although it is silent.
+    pub fn worth_asking(&mut self) -> bool {
+        let Some(since) = self.0.as_mut() else { return true };
+        let again = since.elapsed() >= Duration::from_millis(constants::PEER_SILENT_MS);
+        if again {
+            *since = Instant::now();
+        }
+        again
+    }
+}
