Test: a fleet of 4,500 machines is loaded, filled, taken over and kept within the state service's limits

Need: no fixed limit below 4,000 machines. Nothing broke: constants, token and attempt ranges, record layouts and lists hold.

--- /dev/null
+++ b/crates/controller/tests/fleet_size.rs
@@ -0,0 +1,146 @@
+//! A fleet of 4,500 machines, each with tasks, under one leader and then another: nothing has a fixed limit below
+//! it. The rules are asserted; time and memory are printed for whoever runs it by hand with `--release --nocapture`.
+#![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
+
+mod play;
+
+use hookway_controller::ledger::Setup;
+use hookway_testkit::ScriptedWorker;
+use hookway_wire::{Cause, Change, Transaction};
+use play::{Play, job, setup};
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+const MACHINES: usize = 4_500;
+/// Tasks of each array; one fits on a machine at a time.
+const ARRAY_TASKS: u32 = 500;
+/// Arrays: a tenth more tasks than there is room for.
+const ARRAYS: u32 = 10;
+
+fn limits(setup: &Setup) -> (usize, f64) {
+    (setup.params.state.txn_ops, setup.params.state.value_kb)
+}
+
+/// Resident memory of this process, KiB; 0 where the system does not tell.
+fn resident_kb() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or_default();
+    line.trim().trim_end_matches(" kB").trim().parse().unwrap_or(0)
+}
+
+/// A fleet, with what is checked of it.
+struct Fleet {
+    play: Play,
+    workers: Vec<ScriptedWorker>,
+    transactions: usize,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let workers = (0..MACHINES)
+            .map(|n| ScriptedWorker::new(&format!("m-{n:06}"), "small", ["a", "b"][n % 2]))
+            .collect();
+        Self { play: Play::start(), workers, transactions: 0 }
+    }
+
+    /// A transaction keeps to the limits of the state service.
+    fn check_transaction(&mut self, transaction: &Transaction) {
+        let (most_changes, value_kb) = limits(&setup());
+        assert!(transaction.apply.len() <= most_changes, "{} changes", transaction.apply.len());
+        for change in &transaction.apply {
+            if let Change::Put { put, v, .. } = change {
+                let kb = v.to_string().len() as f64 / 1024.0;
+                assert!(kb <= value_kb, "{put}: {kb} KiB");
+            }
+        }
+        let text = serde_json::to_string(transaction).expect("a transaction");
+        assert!(text.len() <= hookway_constants::BODY_LIMIT, "{} bytes", text.len());
+        self.transactions += 1;
+    }
+
+    fn flush(&mut self) {
+        while let Some(commit) = self.play.ledger.next_commit(self.play.now) {
+            self.check_transaction(&commit.transaction);
+            let revision = self.play.store.commit(&commit.transaction).expect("one writer");
+            let result = hookway_controller::ledger::CommitResult::Applied(revision);
+            self.play.ledger.committed(commit, result, self.play.now);
+        }
+    }
+
+    /// Every worker reports once, and the state service takes what is to be written.
+    fn report_all(&mut self) {
+        for n in 0..self.workers.len() {
+            let report = self.workers[n].report();
+            let answer = self.play.ledger.check_in(&report, self.play.now);
+            if let Some(answer) = answer {
+                self.workers[n].take(&answer);
+            }
+            if n % 100 == 0 {
+                self.play.now += 40;
+                self.flush();
+            }
+        }
+        self.flush();
+        self.play.now += 500;
+        self.play.ledger.round(self.play.now);
+        self.flush();
+    }
+
+    fn running(&self) -> usize {
+        self.workers.iter().map(|w| w.live().len()).sum()
+    }
+
+    /// No task is on two machines.
+    fn check_tasks(&self) {
+        let mut seen = BTreeSet::new();
+        for task in self.workers.iter().flat_map(ScriptedWorker::live) {
+            assert!(seen.insert(task.clone()), "{task} is on two machines");
+        }
+    }
+}
+
+#[test]
+fn a_fleet_of_4500_machines_is_loaded_filled_and_taken_over() {
+    let before_kb = resident_kb();
+    let mut fleet = Fleet::new();
+    for n in 0..ARRAYS {
+        fleet.play.submit(job(&format!("req-{n:06}"), "array", ARRAY_TASKS));
+    }
+    let begun = Instant::now();
+    for _ in 0..4 {
+        fleet.report_all();
+    }
+    println!("filled in {:?}, {} transactions", begun.elapsed(), fleet.transactions);
+    assert_eq!(fleet.running(), MACHINES, "every machine has a task");
+    fleet.check_tasks();
+    let begun = Instant::now();
+    fleet.report_all();
+    println!("a report: {:?}", begun.elapsed() / MACHINES as u32);
+    println!("memory: {} KiB", resident_kb().saturating_sub(before_kb));
+
+    // Tasks end while a new leader takes over; it has all machines from the state service.
+    for n in (0..MACHINES).step_by(10) {
+        let task = fleet.workers[n].live().remove(0);
+        fleet.workers[n].end(&task, Cause::Done);
+    }
+    let now = fleet.play.now + 6_000;
+    let store = std::mem::take(&mut fleet.play.store);
+    let begun = Instant::now();
+    fleet.play = Play::lead(store, 1 + hookway_constants::TOKENS_PER_TERM, now);
+    println!("loaded in {:?}", begun.elapsed());
+    assert_eq!(fleet.play.ledger.machine_count(), MACHINES);
+    assert!(!fleet.play.ledger.settled(now), "no machine has reported yet");
+    let begun = Instant::now();
+    fleet.report_all();
+    assert!(!fleet.play.ledger.settled(fleet.play.now), "reports with the old token settle nothing");
+    fleet.report_all();
+    println!("every machine settled in {:?}", begun.elapsed());
+    assert!(fleet.play.ledger.settled(fleet.play.now), "every machine has reported");
+    for _ in 0..3 {
+        fleet.report_all();
+    }
+    fleet.check_tasks();
+    assert_eq!(fleet.running(), MACHINES, "what ended made room for what was left");
+    let done: usize = fleet.workers.iter().map(|w| w.started.len()).sum();
+    assert_eq!(done, MACHINES + MACHINES / 10, "each task was started once");
+}
