--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -351,3 +351,34 @@
 pub const MAILBOX: usize = 1_024;
 /// Plain-words reasons that a job keeps.
 pub const NOTES_KEPT: usize = 6;
+
+/// Pause between two questions of a standby to the leader, ms. A decision reaches it that late.
+pub const FOLLOW_EVERY_MS: u64 = 200;
+/// Entries of the replication log that a leader keeps for standbys, at most: some seconds of the largest fleets.
+/// Whoever is further behind gets an image, which costs less than as many entries.
+pub const REPLICATION_LOG_ENTRIES: usize = 16_384;
+/// Bytes of entries, or of an image, in one message between controllers: well below `PEER_FRAME_LIMIT`.
+pub const REPLICATION_PIECE_BYTES: usize = 32 * 1024;
+/// Largest image, bytes: some 200 for each machine with its tasks, so enough for 100,000 machines.
+pub const REPLICATION_IMAGE_LIMIT: usize = 32 * 1024 * 1024;
+/// How long a leader hands out pieces of one image before it makes a new one for whoever asks next, ms.
+pub const REPLICATION_IMAGE_KEPT_MS: u64 = 5_000;
+/// Ranges into which names fall for digests. One range is hashed at a time, so that no round of the leader
+/// waits for a whole one.
+pub const REPLICATION_DIGEST_RANGES: u32 = 16;
+/// Pause between two digests, ms: all ranges are compared within 16 s.
+pub const REPLICATION_DIGEST_EVERY_MS: u64 = 1_000;
+/// A copy whose leader was heard longer ago than this tells a new leader nothing, ms.
+pub const REPLICATION_STALE_MS: u64 = 60_000;
+/// Names in the log of what a copy had wrong, at most.
+pub const REPLICATION_DIFFERENCES_NAMED: usize = 8;
+/// Pauses between signs of life that a failure detector remembers.
+pub const DETECTOR_PAUSES: usize = 64;
+/// Pauses that it needs before it judges.
+pub const DETECTOR_PAUSES_LEAST: usize = 8;
+/// A silence is unusual beyond the mean pause and this many standard deviations.
+pub const DETECTOR_DEVIATIONS: f64 = 6.0;
+/// No silence shorter than this is unusual, ms: a lost packet is sent again within it.
+pub const DETECTOR_PATIENCE_LEAST_MS: u64 = 1_000;
+/// Longest time that histograms tell apart, ms.
+pub const DURATIONS_MOST_MS: u64 = 3_600_000;
--- a/crates/controller/tests/fleet_size.rs
+++ b/crates/controller/tests/fleet_size.rs
@@ -132,7 +132,10 @@
     assert!(!fleet.play.ledger.settled(now), "no machine has reported yet");
     let begun = Instant::now();
     fleet.report_all();
-    assert!(!fleet.play.ledger.settled(fleet.play.now), "reports with the old token settle nothing");
+    assert!(
+        !fleet.play.ledger.settled(fleet.play.now),
+        "reports with the old token settle nothing"
+    );
     fleet.report_all();
     println!("every machine settled in {:?}", begun.elapsed());
     assert!(fleet.play.ledger.settled(fleet.play.now), "every machine has reported");
