Warm standbys in the controller: they follow the leader, take over warm, and look when it falls silent

A new leader asks the addresses of its copy at once what they have, knows which jobs failed everywhere, and completes a gang that was being started. What runs where is still told by the workers, what was never started by the state service. Promotion gates the ledger. An unusual silence has the state service asked at once. [replication] in the operators' file; GET /replication.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -28,6 +28,8 @@
 pub const REJECTED_RETRY_MS: u64 = 5_000;
 /// Largest pause before a node stands for leadership after it saw none, ms. Spreads the candidates.
 pub const ELECTION_JITTER_MS: u64 = 150;
+/// A node with a warm copy pauses for this part of that only: it needs the least time to take over.
+pub const WARM_JITTER_PART: u64 = 5;
 
 /// Time limit for one request to the state service, ms. Most take under 10 ms, some a few hundred.
 pub const STORE_TIMEOUT_MS: u64 = 1_200;
@@ -382,3 +384,15 @@
 pub const DETECTOR_PATIENCE_LEAST_MS: u64 = 1_000;
 /// Longest time that histograms tell apart, ms.
 pub const DURATIONS_MOST_MS: u64 = 3_600_000;
+/// Errors of a job that a new leader takes over from its copy, at most: pauses grow no further anyway.
+pub const RESUMED_ERRORS_MOST: u32 = 16;
+/// How long a new leader tries to complete a gang of which an earlier one started a part, ms, from when nothing
+/// else can be anywhere. Past that the gang begins anew: what waits for it would give up.
+pub const GANG_RESUME_MS: u64 = 5_000;
+/// Whether controllers keep a copy of the leader's picture unless the operators say otherwise.
+pub const STANDBY_AS_A_RULE: bool = true;
+/// Lengths that the operators may give the leadership lease, ms. Below, a slow answer of the state service or two
+/// would cost the leadership.
+pub const LEADER_TTL_RANGE_MS: std::ops::RangeInclusive<u64> = 3_000..=60_000;
+/// While the leader is silent a standby asks the state service this often whether it still leads, ms.
+pub const SUSPICION_LOOK_EVERY_MS: u64 = 1_000;
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -2,6 +2,7 @@
 
 use crate::answers::{Finals, Told, Verdict};
 use crate::config::Params;
+use crate::frame;
 use crate::lead::{View, wall_ms};
 use crate::ledger::{Cancellation, Lookup, leases_end_in_time};
 use crate::limiter::Limiter;
@@ -12,7 +13,10 @@
 use hookway_clients::{CommitOutcome, HttpError, StoreClient, StoreError};
 use hookway_constants as constants;
 use hookway_policy::{Room, TeamView, fits_somewhere};
-use hookway_wire::{Change, CheckIn, Guard, JobId, JobSpec, JobState, MachineType, Transaction};
+use hookway_replication::{FollowAnswer, FollowRequest};
+use hookway_wire::{
+    Change, CheckIn, Guard, JobId, JobSpec, JobState, MachineType, ReplicationStatus, Transaction,
+};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -411,6 +415,7 @@
             PeerAsk::Renew(renewal) => {
                 return PeerAnswer::Block(self.ask(|r| Ask::Renew(renewal, r)).await);
             }
+            PeerAsk::Follow(request) => return PeerAnswer::Followed(self.publish(request).await),
         })
     }
 
@@ -430,6 +435,37 @@
         }
     }
 
+    /// What a standby's copy lacks; `None` for whoever is none of the other controllers.
+    async fn publish(&self, request: FollowRequest) -> Option<FollowAnswer> {
+        if !self.peers.knows(&request.follower) {
+            tracing::error!("{:?} asks to follow, and is no controller here", request.follower);
+            return None;
+        }
+        self.ask(|r| Ask::Follow(request, r)).await
+    }
+
+    /// Keeps this node's copy of the leader's picture up to date, for as long as another node leads that publishes
+    /// one.
+    pub async fn follow_leader(&self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(constants::FOLLOW_EVERY_MS)).await;
+            let Some(request) = self.ask(Ask::FollowRequest).await else { continue };
+            let leader = self.view.borrow().leader.clone().filter(|l| *l != self.label);
+            // The renewals of this node's block tell the leader's version.
+            let publishes = |name: &String| self.peers.version(name) >= Some(frame::REPLICATION);
+            let Some(leader) = leader.filter(publishes) else { continue };
+            match self.peers.follow(&leader, request).await {
+                Ok(answer) => drop(self.node.send(Ask::Followed(answer)).await),
+                Err(e) => tracing::debug!("following {leader}: {e}"),
+            }
+        }
+    }
+
+    /// How replication stands, for operators.
+    pub async fn replication(&self) -> Option<ReplicationStatus> {
+        self.ask(Ask::Replication).await
+    }
+
     pub(crate) async fn check_in(&self, report: CheckIn) -> CheckInReply {
         let (reply, answer) = oneshot::channel();
         if self.node.send(Ask::CheckIn(report, reply)).await.is_err() {
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -1,5 +1,6 @@
 //! Settings: the platform's TOML file, and the operators' own INI file.
 
+use crate::networks::Networks;
 use serde::Deserialize;
 use std::path::Path;
 
@@ -341,6 +342,61 @@
     pub most_machines: usize,
     /// `[scheduling] block_lease_s`: length of a block lease, ms.
     pub block_lease_ms: u64,
+    /// `[replication]`.
+    pub replication: ReplicationSettings,
+}
+
+/// How controllers follow the one that leads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicationSettings {
+    /// `standby`: controllers that don't lead keep a copy of the leader's picture.
+    pub standby: bool,
+    /// `leader_lease_s`: length of the leadership lease, ms. Nobody can lead before the old leader's is over.
+    pub leader_lease_ms: u64,
+    /// `controller_networks`: from where other controllers may connect.
+    pub controller_networks: Networks,
+    /// `worker_networks`: addresses that a copy may name as workers'.
+    pub worker_networks: Networks,
+}
+
+impl Default for ReplicationSettings {
+    fn default() -> Self {
+        Self {
+            standby: hookway_constants::STANDBY_AS_A_RULE,
+            leader_lease_ms: hookway_constants::LEADER_TTL_MS,
+            controller_networks: Networks::default(),
+            worker_networks: Networks::default(),
+        }
+    }
+}
+
+impl ReplicationSettings {
+    /// Takes a key of the section; `false`: there is no such key.
+    fn set(&mut self, key: &str, value: &str, name: &str) -> Result<bool, String> {
+        let networks = || Networks::parse(value).map_err(|e| format!("{name}: {e}"));
+        match key {
+            "standby" => {
+                self.standby = match value.trim() {
+                    "on" => true,
+                    "off" => false,
+                    _ => return Err(format!("{name} must be on or off")),
+                }
+            }
+            "leader_lease_s" => {
+                let range = hookway_constants::LEADER_TTL_RANGE_MS;
+                let ms = value.trim().parse::<f64>().unwrap_or(f64::NAN) * 1000.0;
+                if !(*range.start() as f64..=*range.end() as f64).contains(&ms) {
+                    let (least, most) = (range.start() / 1000, range.end() / 1000);
+                    return Err(format!("{name} must be from {least} to {most} seconds"));
+                }
+                self.leader_lease_ms = ms as u64;
+            }
+            "controller_networks" => self.controller_networks = networks()?,
+            "worker_networks" => self.worker_networks = networks()?,
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
 }
 
 impl Default for OperatorSettings {
@@ -349,6 +405,7 @@
             idle_return_ms: None,
             most_machines: usize::MAX,
             block_lease_ms: hookway_constants::BLOCK_LEASE_MS,
+            replication: ReplicationSettings::default(),
         }
     }
 }
@@ -387,6 +444,7 @@
                             .map_err(|_| format!("{name} must be a whole number"))?;
                     }
                     (Some("scheduling"), "block_lease_s") => found.block_lease_ms = seconds()?,
+                    (Some("replication"), key) if found.replication.set(key, value, &name)? => {}
                     _ => return Err(format!("unknown setting {name}")),
                 }
             }
--- a/crates/controller/src/config/tests.rs
+++ b/crates/controller/src/config/tests.rs
@@ -57,3 +57,29 @@
     }
     assert!(Settings::parse(&SETTINGS.replace("txn_ops = 8", "txn_ops = 2")).is_err());
 }
+
+#[test]
+fn replication_settings_are_read_and_wrong_ones_named() {
+    let read = |text: &str| OperatorSettings::parse(&format!("[replication]\n{text}\n"));
+    let rule = OperatorSettings::default().replication;
+    let found = read("standby = off\nleader_lease_s = 4.4").unwrap().replication;
+    assert_eq!((found.standby, found.leader_lease_ms), (false, 4_400));
+    assert_eq!(found.worker_networks, rule.worker_networks);
+    let found = read("worker_networks = 10.1.0.0/16\ncontroller_networks = 10.0.0.0/24").unwrap();
+    assert!(found.replication.worker_networks.allow_socket("10.1.2.3:9000"));
+    assert!(!found.replication.controller_networks.allow_socket("10.1.2.3:9000"));
+    for wrong in [
+        "standby = perhaps",
+        "leader_lease_s = 2.9",
+        "leader_lease_s = 61",
+        "leader_lease_s = nan",
+        "leader_lease_s = soon",
+        "worker_networks = 10.1.0.0/40",
+        "controller_networks = here",
+        "follow = on",
+    ] {
+        let name = wrong.split(' ').next().unwrap();
+        let why = read(wrong).unwrap_err();
+        assert!(why.contains(&format!("[replication] {name}")), "{wrong}: {why}");
+    }
+}
--- a/crates/controller/src/frame.rs
+++ b/crates/controller/src/frame.rs
@@ -14,8 +14,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct FrameVersion(pub u32);
 
+/// The first version whose controllers answer standbys (`PeerAsk::Follow`).
+pub const REPLICATION: FrameVersion = FrameVersion(2);
+
 /// The version of this build.
-pub const CURRENT: FrameVersion = FrameVersion(1);
+pub const CURRENT: FrameVersion = FrameVersion(2);
 
 /// Why a frame can't be written or read.
 #[derive(Debug, thiserror::Error)]
--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -131,6 +131,19 @@
     res.render(Json(serde_json::json!({ "up": true })));
 }
 
+struct ReplicationHandler(Arc<Desk>);
+
+#[async_trait]
+impl Handler for ReplicationHandler {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let limit = Duration::from_millis(constants::STATUS_LIMIT_MS);
+        match tokio::time::timeout(limit, self.0.replication()).await {
+            Ok(Some(status)) => res.render(Json(status)),
+            _ => unavailable(res, "no answer in time", constants::RETRY_AFTER_S),
+        }
+    }
+}
+
 #[handler]
 async fn plain_error(res: &mut Response, ctrl: &mut FlowCtrl) {
     let status = res.status_code.unwrap_or(StatusCode::NOT_FOUND);
@@ -144,6 +157,7 @@
     let user = |kind| UserHandler(desk.clone(), kind);
     let router = Router::new()
         .push(Router::with_path("up").get(up))
+        .push(Router::with_path("replication").get(ReplicationHandler(desk.clone())))
         .push(Router::with_path("checkin").post(CheckInHandler(desk.clone())))
         .push(
             Router::with_path("api/jobs")
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -12,6 +12,7 @@
 use hookway_constants as constants;
 use hookway_wire::{Change, Event, Guard, KeyValue, Transaction};
 use rand::RngExt;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, watch};
@@ -65,6 +66,8 @@
 pub struct View {
     /// The leader's name, as last seen.
     pub leader: Option<String>,
+    /// Its term, while the state service says that it leads.
+    pub leader_term: Option<u64>,
     /// Set while this node leads.
     pub mandate: Option<Mandate>,
 }
@@ -112,6 +115,13 @@
     pub view: watch::Sender<View>,
     /// Rung by the node when a write showed that it leads no more.
     pub doubt: Arc<Notify>,
+    /// Rung when the leader's silence is unusual: the state service is asked at once whether it still leads, as a
+    /// watch whose connection died unnoticed would not tell.
+    pub suspicion: Arc<Notify>,
+    /// Length of the lease, ms.
+    pub lease_ms: u64,
+    /// This node has a usable copy of the leader's picture: it stands before those that have none.
+    pub warm: Arc<AtomicBool>,
 }
 
 enum Found {
@@ -146,12 +156,16 @@
                         }
                         continue;
                     }
-                    self.publish(Some(record.label), None);
+                    self.publish(View {
+                        leader: Some(record.label),
+                        leader_term: Some(record.term),
+                        mandate: None,
+                    });
                     self.follow(revision).await;
                 }
                 Ok((Found::Nobody { term, term_stamp, marked }, _)) => {
-                    let jitter = rand::rng().random_range(0..=constants::ELECTION_JITTER_MS);
-                    self.pause(jitter).await;
+                    self.publish_vacancy();
+                    self.pause(self.election_pause()).await;
                     self.stand(nonce, term, term_stamp, marked).await;
                 }
                 Err(e) => {
@@ -166,8 +180,26 @@
         tokio::time::sleep(Duration::from_millis(ms)).await;
     }
 
-    fn publish(&self, leader: Option<String>, mandate: Option<Mandate>) {
-        let view = View { leader, mandate };
+    /// How long this node leaves others the first chance, ms.
+    fn election_pause(&self) -> u64 {
+        let jitter = rand::rng().random_range(0..=constants::ELECTION_JITTER_MS);
+        if self.warm.load(Ordering::Relaxed) {
+            jitter / constants::WARM_JITTER_PART
+        } else {
+            jitter
+        }
+    }
+
+    /// Nobody leads. Who led last is still the best guess of who knows more.
+    fn publish_vacancy(&self) {
+        self.view.send_if_modified(|view| {
+            let changed = view.leader_term.is_some();
+            view.leader_term = None;
+            changed
+        });
+    }
+
+    fn publish(&self, view: View) {
         self.view.send_if_modified(|v| {
             let changed = *v != view;
             *v = view.clone();
@@ -203,7 +235,11 @@
     /// Waits until the leader's key goes.
     async fn follow(&self, mut revision: u64) {
         loop {
-            match self.store.watch(LEAD, revision, constants::WATCH_WAIT_MS).await {
+            let watched = tokio::select! {
+                watched = self.store.watch(LEAD, revision, constants::WATCH_WAIT_MS) => watched,
+                () = self.suspicion.notified() => return,
+            };
+            match watched {
                 Ok(answer) => {
                     if answer.events.iter().any(|e| match e {
                         Event::Delete { delete, .. } => delete == LEAD_NOW,
@@ -224,7 +260,7 @@
 
     async fn stand(&self, nonce: u64, term: u64, term_stamp: u64, marked: bool) {
         let sent = self.clock.now();
-        let lease_id = match self.store.grant(constants::LEADER_TTL_MS).await {
+        let lease_id = match self.store.grant(self.lease_ms).await {
             Ok(lease_id) => lease_id,
             Err(e) => {
                 tracing::debug!("no lease for leadership: {e}");
@@ -249,7 +285,7 @@
         };
         match self.store.commit(&transaction).await {
             Ok(CommitOutcome::Applied(revision)) => {
-                let until = valid_until(sent, constants::LEADER_TTL_MS);
+                let until = valid_until(sent, self.lease_ms);
                 self.lead(&record, revision, lease_id, until, marked).await;
             }
             Ok(CommitOutcome::Refused(_)) => {
@@ -269,7 +305,11 @@
         self.validity.set(record.term, until);
         let guard = Guard { key: LEAD_NOW.into(), stamp };
         let mandate = Mandate { term: record.term, guard, lease_id, marked };
-        self.publish(Some(self.label.clone()), Some(mandate));
+        self.publish(View {
+            leader: Some(self.label.clone()),
+            leader_term: Some(record.term),
+            mandate: Some(mandate),
+        });
         let mut pause = if until == 0 { 0 } else { constants::LEADER_EXTEND_EVERY_MS };
         let gave_up = loop {
             tokio::select! {
@@ -279,7 +319,7 @@
             let sent = self.clock.now();
             match self.store.extend(lease_id).await {
                 Ok(()) => {
-                    self.validity.set(record.term, valid_until(sent, constants::LEADER_TTL_MS));
+                    self.validity.set(record.term, valid_until(sent, self.lease_ms));
                     pause = constants::LEADER_EXTEND_EVERY_MS;
                 }
                 Err(StoreError::NoLease) => break false,
@@ -291,7 +331,7 @@
         };
         self.validity.set(record.term, 0);
         tracing::info!("not leading any more");
-        self.publish(None, None);
+        self.publish(View::default());
         let _ = self.store.release(lease_id).await;
         if gave_up {
             // Another node shall have it.
--- a/crates/controller/src/ledger/direct_starts.rs
+++ b/crates/controller/src/ledger/direct_starts.rs
@@ -120,7 +120,7 @@
     /// seconds for each controller that hangs; until all have reported, most work of earlier terms waits.
     pub fn take_greetings(&mut self, now: u64) -> Vec<(String, String)> {
         let room = constants::GREETINGS_AT_MOST.saturating_sub(self.greetings);
-        if room == 0 || self.unheard.is_empty() || now < self.won_at + constants::GREET_AFTER_MS {
+        if room == 0 || self.unheard.is_empty() || now < self.greet_from {
             return Vec::new();
         }
         let mut chosen = Vec::new();
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -15,6 +15,7 @@
 mod model;
 mod outcomes;
 mod progress;
+mod replicate;
 mod roster;
 mod schedule;
 mod writer;
@@ -23,6 +24,7 @@
 pub use model::{Aims, Ended, Expected, Held, Job, JobContext, Kill, Machine, Phase, Recent, Slot};
 pub use outcomes::{Cancellation, Lookup};
 pub use progress::Progress;
+pub use replicate::WarmStart;
 pub use writer::{Commit, CommitResult, Learned};
 
 use crate::blocks::Blocks;
@@ -77,6 +79,18 @@
     pub wall: u64,
 }
 
+impl Moment {
+    /// The time of day at a reading of the steady clock, ms.
+    fn wall_of(&self, steady: u64) -> u64 {
+        (self.wall + steady).saturating_sub(self.now)
+    }
+
+    /// The reading of the steady clock at a time of day, ms.
+    fn steady_of(&self, wall: u64) -> u64 {
+        self.now.saturating_add(wall).saturating_sub(self.wall)
+    }
+}
+
 /// How things stand, in one line of the log.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Summary {
@@ -157,6 +171,10 @@
     stops_due: bool,
     /// When this leader won, ms.
     won_at: u64,
+    /// Workers that have not reported are asked from then on what is on their machines, ms.
+    greet_from: u64,
+    /// Both clocks when this leader won.
+    began: Moment,
     /// Both clocks, as last told.
     told: Moment,
     /// What was seen of each class.
@@ -253,6 +271,8 @@
             unproven: BTreeSet::new(),
             stops_due: false,
             won_at: at.now,
+            greet_from: at.now + constants::GREET_AFTER_MS,
+            began: at,
             told: at,
             classes: HashMap::new(),
         };
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -121,6 +121,12 @@
     pub timed: u32,
     /// Attempt number that a gang's tasks share.
     pub attempt: Option<u64>,
+    /// Attempt of a gang that an earlier leader was starting, as this leader's copy has it.
+    pub resumed_attempt: Option<u64>,
+    /// Until then that attempt may be completed, ms; set once nothing of it can be anywhere unknown.
+    pub resume_until: Option<u64>,
+    /// What was found of that attempt waits for the rest, which may be started.
+    pub completing: bool,
     /// The gang's attempt has lost a task or is being stopped: all of it must go.
     pub broken: bool,
     /// What it is to end as, once that is durable.
@@ -192,6 +198,9 @@
             sum_ms: 0,
             timed: 0,
             attempt: None,
+            resumed_attempt: None,
+            resume_until: None,
+            completing: false,
             broken: false,
             ending: None,
             cancel_asked_at: None,
--- /dev/null
+++ b/crates/controller/src/ledger/replicate.rs
@@ -0,0 +1,156 @@
+//! What a leader publishes for warm standbys, and what a new leader takes from its copy.
+//!
+//! The copy is a hint. It names addresses where workers may be asked what they have, says which jobs failed
+//! wherever they were tried, and which attempt of a gang was being started. What runs where is told by the
+//! workers alone, and what was never started by the state service alone.
+
+use super::{Held, Job, Ledger, Machine, Phase};
+use crate::networks::Networks;
+use hookway_constants as constants;
+use hookway_replication::{JobHints, MachineView, Publisher, ReplicatedState, Stage, TaskView};
+use hookway_wire::{JobId, TaskState};
+use std::collections::HashSet;
+
+/// What a new leader took from its copy.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WarmStart {
+    /// Machines that can be asked at once what they have.
+    pub addresses: usize,
+    /// Jobs of which failures are known.
+    pub failing_jobs: usize,
+    /// Gangs of which an attempt was being started.
+    pub gangs: usize,
+}
+
+impl std::fmt::Display for WarmStart {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { addresses, failing_jobs, gangs } = self;
+        write!(f, "{addresses} addresses, {failing_jobs} jobs with failures, {gangs} gangs")
+    }
+}
+
+fn stage(phase: Phase) -> Stage {
+    match phase {
+        Phase::Planned => Stage::Planned,
+        Phase::Sent | Phase::Pushed(_) => Stage::Sent,
+        Phase::On(TaskState::Running | TaskState::Saving) => Stage::Running,
+        Phase::On(_) => Stage::Accepted,
+    }
+}
+
+fn is_published(machine: &Machine) -> bool {
+    machine.heard && !machine.addr.is_empty()
+}
+
+impl Ledger {
+    /// Publishes what has changed since the last time.
+    pub fn publish(&self, publisher: &mut Publisher) {
+        let mut shown = 0;
+        for (name, machine) in self.machines.iter().filter(|(_, m)| is_published(m)) {
+            shown += 1;
+            let view = MachineView { name, address: &machine.addr, session: machine.newest.0 };
+            let task = |held: &Held| (held.attempt, stage(held.phase));
+            let tasks = machine.held.iter().map(|held| {
+                let (attempt, stage) = task(held);
+                TaskView { task: &held.task, attempt, stage }
+            });
+            publisher.show_machine(view, tasks);
+        }
+        publisher.retain_machines(shown, |name| self.machines.get(name).is_some_and(is_published));
+        let mut shown = 0;
+        for job in self.jobs.values() {
+            if let Some(hints) = self.hints_of(job) {
+                shown += 1;
+                publisher.show_job(job.id.as_str(), hints);
+            }
+        }
+        publisher.retain_jobs(shown, |id| {
+            let job = JobId::parse(id).and_then(|id| self.jobs.get(self.by_id.get(&id)?));
+            job.is_some_and(|job| self.hints_of(job).is_some())
+        });
+    }
+
+    /// What the next leader should know of a job beside its records; `None`: nothing.
+    fn hints_of(&self, job: &Job) -> Option<JobHints> {
+        let attempt = job.attempt.filter(|_| job.spec.is_gang() && job.live() && !job.broken);
+        if attempt.is_none() && job.errors == 0 {
+            return None;
+        }
+        let mut hints = JobHints { attempt, ..JobHints::default() };
+        if job.errors > 0 {
+            hints.errors = job.errors;
+            hints.failed_at = self.began.wall_of(job.failed_at);
+            hints.paused_until = self.began.wall_of(job.pause_until);
+            hints.failed_on = job.failed_on.iter().cloned().collect();
+        }
+        Some(hints)
+    }
+
+    /// Takes from the copy of an earlier leader's picture what helps and can't harm. The records of the state
+    /// service win: only machines and jobs that they name are looked at.
+    pub fn warm_start(
+        &mut self,
+        copy: &ReplicatedState,
+        workers: &Networks,
+        now: u64,
+    ) -> WarmStart {
+        let mut taken = WarmStart::default();
+        for (name, known) in &copy.machines {
+            let Some(machine) = self.machines.get_mut(name) else { continue };
+            let asked = !machine.heard && machine.addr.is_empty();
+            if asked && workers.allow_socket(&known.address) {
+                machine.addr.clone_from(&known.address);
+                taken.addresses += 1;
+            }
+        }
+        for (id, hints) in &copy.jobs {
+            let key = JobId::parse(id).and_then(|id| self.by_id.get(&id));
+            let Some(job) = key.and_then(|key| self.jobs.get_mut(key)) else { continue };
+            if job.spec.is_gang() && hints.attempt.is_some() {
+                job.resumed_attempt = hints.attempt;
+                taken.gangs += 1;
+            }
+            if hints.errors > 0 && job.errors == 0 {
+                let latest = now + constants::ERROR_PAUSE_MAX_MS;
+                job.errors = hints.errors.min(constants::RESUMED_ERRORS_MOST);
+                job.failed_at = self.began.steady_of(hints.failed_at).min(now);
+                job.pause_until = self.began.steady_of(hints.paused_until).min(latest);
+                let kept = hints.failed_on.iter().take(constants::FAILED_ON_KEPT);
+                job.failed_on = kept.cloned().collect();
+                taken.failing_jobs += 1;
+            }
+        }
+        if taken.addresses > 0 {
+            self.greet_from = now;
+        }
+        taken
+    }
+
+    /// Gangs of which the attempt that an earlier leader was starting can still be completed: what was found of it
+    /// waits for the rest, and nothing of it runs or goes.
+    pub(super) fn completable_gangs(&self) -> HashSet<u64> {
+        let resumed = |job: &Job| {
+            job.resumed_attempt.is_some()
+                && job.attempt == job.resumed_attempt
+                && job.strays.is_empty()
+                && !job.broken
+        };
+        let mut gangs: HashSet<u64> =
+            self.jobs.iter().filter(|(_, job)| resumed(job)).map(|(key, _)| *key).collect();
+        if gangs.is_empty() {
+            return gangs;
+        }
+        for held in self.machines.values().flat_map(|machine| &machine.held) {
+            let waits = matches!(
+                held.phase,
+                Phase::Planned | Phase::On(TaskState::Pulling | TaskState::Waiting)
+            );
+            if let Some(key) = held.job
+                && (!waits || held.kill.is_some())
+            {
+                gangs.remove(&key);
+            }
+        }
+        gangs
+    }
+}
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -5,7 +5,7 @@
     HeldView, JobView, MachineView, Room, TeamView, World, evict, minimum, place,
 };
 use hookway_wire::TaskState;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// What is left of a job's turn after a round.
 #[derive(Debug, Clone, Copy)]
@@ -130,7 +130,8 @@
         if job.spec.is_gang() {
             // Tasks of an earlier attempt stay where they are until they exit.
             let whole = job.held == 0 && job.free.len() as u32 == job.spec.tasks;
-            return if whole { job.spec.tasks } else { 0 };
+            let completes = job.completing && !job.broken;
+            return if whole || completes { job.free.len() as u32 } else { 0 };
         }
         let free = job.free.len() as u32;
         if job.doubtful() { free.min(1).saturating_sub(job.held) } else { free }
@@ -386,16 +387,21 @@
         }
     }
 
-    /// A gang that lost a task, or of which only part was found after a change of leader, goes.
+    /// A gang that lost a task goes. One of which only part was found after a change of leader goes as well, unless
+    /// that part still waits for the rest: then the rest is started.
     fn mend_gangs(&mut self, now: u64) {
         let settled = self.settled(now);
-        for job in self.jobs.values_mut() {
+        let completable = if settled { self.completable_gangs() } else { HashSet::new() };
+        for (key, job) in &mut self.jobs {
             let partial = job.spec.is_gang()
                 && job.live()
                 && job.held > 0
                 && job.slots.contains(&Slot::Free)
                 && (settled || !job.inherited);
-            if partial {
+            job.completing = partial
+                && completable.contains(key)
+                && now < *job.resume_until.get_or_insert(now + constants::GANG_RESUME_MS);
+            if partial && !job.completing {
                 self.stops_due |= !job.broken;
                 job.broken = true;
             }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -15,11 +15,13 @@
 pub mod lead;
 pub mod ledger;
 pub mod limiter;
+pub mod networks;
 pub mod node;
 pub mod peers;
 pub mod records;
 pub mod run;
 mod silence;
+pub mod standby;
 
 pub use config::{ConfigError, OperatorSettings, Settings};
 pub use ledger::Ledger;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -8,12 +8,17 @@
     Cancellation, Commit, CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup,
 };
 use crate::records::{CLASSES, IMAGES, JOBS, MINIMUMS, PROGRESS, ROSTER};
+use crate::standby::Standby;
 use hookway_clients::{
     CloudClient, CloudError, CommitOutcome, Delivery, RentOutcome, StoreClient, StoreError,
     WorkerClient,
 };
 use hookway_constants as constants;
-use hookway_wire::{CheckIn, CheckInAnswer, Event, JobId, ListedMachine, MachineType, RentRequest};
+use hookway_replication::{FollowAnswer, FollowRequest, Publisher};
+use hookway_wire::{
+    CheckIn, CheckInAnswer, Command, Event, JobId, ListedMachine, MachineType, RentRequest,
+    ReplicationStatus,
+};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +44,14 @@
     Renewal(oneshot::Sender<Option<(Renewal, u64)>>),
     /// The leader's answer to what was sent at that time, ms.
     Leased(BlockLease, u64),
+    /// A standby asks for what its copy lacks.
+    Follow(FollowRequest, oneshot::Sender<Option<FollowAnswer>>),
+    /// What this node asks the leader for its own copy. `None`: it leads, or keeps none.
+    FollowRequest(oneshot::Sender<Option<FollowRequest>>),
+    /// The leader's answer to that.
+    Followed(FollowAnswer),
+    /// How replication stands, for operators.
+    Replication(oneshot::Sender<Option<ReplicationStatus>>),
 }
 
 /// The answer to a report.
@@ -96,12 +109,15 @@
     pub finals: Arc<Finals>,
     /// The block that this node holds.
     pub holding: std::cell::RefCell<Holding>,
+    /// This node's copy of the leader's picture, and the steps by which it takes over.
+    pub standby: std::cell::RefCell<Standby>,
 }
 
 /// One term of leadership.
 struct Term {
     mandate: Mandate,
     ledger: Option<Ledger>,
+    publisher: Publisher,
     helpers: JoinSet<()>,
     notes: mpsc::Sender<Note>,
     waiting: HashMap<JobId, Vec<oneshot::Sender<Option<Cancellation>>>>,
@@ -113,14 +129,16 @@
     last_log: u64,
     last_direct: u64,
     last_work: u64,
+    last_publish: u64,
 }
 
 impl Node {
     /// Runs until the process ends.
     pub async fn run(mut self) {
         loop {
-            let mandate = self.view.borrow_and_update().mandate.clone();
-            match mandate {
+            let view = self.view.borrow_and_update().clone();
+            self.standby.get_mut().view_changed(&view, self.clock.now());
+            match view.mandate {
                 Some(mandate) => self.lead(mandate).await,
                 None => {
                     tokio::select! {
@@ -156,9 +174,22 @@
             Ask::Leased(lease, sent) => {
                 self.holding.borrow_mut().leased(lease, sent, self.clock.now());
             }
+            Ask::Follow(_, reply) => drop(reply.send(None)),
+            Ask::FollowRequest(reply) => {
+                let request = self.standby.borrow_mut().next_request(self.clock.now());
+                let _ = reply.send(request);
+            }
+            Ask::Followed(answer) => {
+                self.standby.borrow_mut().followed(answer, self.clock.now());
+            }
+            Ask::Replication(reply) => self.tell_replication(reply),
         }
     }
 
+    fn tell_replication(&self, reply: oneshot::Sender<Option<ReplicationStatus>>) {
+        let _ = reply.send(Some(self.standby.borrow().status(self.clock.now())));
+    }
+
     /// A moment of this node's clock.
     fn moment(&self, at: u64) -> Instant {
         let now = Instant::now();
@@ -172,9 +203,21 @@
     }
 
     async fn lead(&mut self, mandate: Mandate) {
+        if !self.standby.get_mut().elected(mandate.term, self.clock.now()) {
+            self.doubt.notify_one();
+            // Until the leadership has been given back.
+            let _ = self.view.changed().await;
+            return;
+        }
+        self.lead_term(mandate).await;
+        self.standby.get_mut().deposed(self.clock.now());
+    }
+
+    async fn lead_term(&mut self, mandate: Mandate) {
         self.holding.borrow_mut().won(mandate.term);
         let (notes, mut inbox) = mpsc::channel(constants::MAILBOX);
         let mut term = Term {
+            publisher: Publisher::new(mandate.term),
             mandate,
             ledger: None,
             helpers: JoinSet::new(),
@@ -188,6 +231,7 @@
             last_log: 0,
             last_direct: 0,
             last_work: self.clock.now(),
+            last_publish: 0,
         };
         self.start_loading(&mut term);
         let mut tick = tokio::time::interval(Duration::from_millis(constants::TICK_MS));
@@ -292,7 +336,8 @@
                     let _ = reply.send(kept.unwrap_or(CheckInReply::Unsure));
                 }
                 Ask::Renewal(reply) => drop(reply.send(None)),
-                Ask::Leased(..) => {}
+                Ask::FollowRequest(reply) => drop(reply.send(None)),
+                Ask::Leased(..) | Ask::Followed(_) => {}
                 other => self.not_leading(other),
             }
             return;
@@ -301,6 +346,12 @@
             Ask::CheckIn(report, reply) => {
                 let until = self.moment(self.validity.until(term.mandate.term));
                 let answer = ledger.check_in(&report, now);
+                let starts = |a: &CheckInAnswer| {
+                    a.commands.iter().any(|command| matches!(command, Command::Run { .. }))
+                };
+                if answer.as_ref().is_some_and(starts) {
+                    self.standby.borrow_mut().decided(now);
+                }
                 let _ = reply
                     .send(answer.map_or(CheckInReply::Unsure, |a| CheckInReply::Answer(a, until)));
                 self.flush(term);
@@ -322,7 +373,18 @@
             }
             Ask::Renew(renewal, reply) => drop(reply.send(ledger.renew_block(&renewal, now))),
             Ask::Renewal(reply) => drop(reply.send(None)),
-            Ask::Leased(..) => {}
+            Ask::Follow(request, reply) => {
+                // Standbys ask one after the other: one comparison serves them all.
+                if now >= term.last_publish + constants::FOLLOW_EVERY_MS / 2 {
+                    term.last_publish = now;
+                    ledger.publish(&mut term.publisher);
+                }
+                let answer = term.publisher.answer(&request, now);
+                let _ = reply.send(answer.map_err(|e| tracing::error!("replication: {e}")).ok());
+            }
+            Ask::FollowRequest(reply) => drop(reply.send(None)),
+            Ask::Leased(..) | Ask::Followed(_) => {}
+            Ask::Replication(reply) => self.tell_replication(reply),
         }
     }
 
@@ -330,8 +392,11 @@
         let at = self.clock.moment();
         match note {
             Note::Loaded(loaded, revision) => {
+                if !self.standby.borrow_mut().records_read(term.mandate.term, at.now) {
+                    return;
+                }
                 let machine_types = self.machine_types.borrow().as_ref().map(|f| f.to_vec());
-                let ledger = Ledger::new(
+                let mut ledger = Ledger::new(
                     self.setup.clone(),
                     term.mandate.term,
                     term.mandate.guard.clone(),
@@ -339,6 +404,7 @@
                     loaded,
                     at,
                 );
+                self.warm_start(&mut ledger, at.now);
                 tracing::info!("term {}: {}", term.mandate.term, ledger.summary(at.now));
                 term.ledger = Some(ledger);
                 self.start_watching(term, revision);
@@ -408,6 +474,18 @@
         }
     }
 
+    /// Takes from this node's copy of the last leader's picture what helps.
+    fn warm_start(&self, ledger: &mut Ledger, now: u64) {
+        let standby = self.standby.borrow();
+        match standby.copy(ledger.term(), now) {
+            Ok(copy) => {
+                let workers = &self.setup.operator.replication.worker_networks;
+                tracing::info!("warm start: {}", ledger.warm_start(copy, workers, now));
+            }
+            Err(why) => tracing::info!("cold start: {why}"),
+        }
+    }
+
     /// Asks workers that have not found this leader yet what is on their machines.
     fn ask_for_report(&self, term: &mut Term, now: u64) {
         if !self.validity.holds(term.mandate.term, now) {
@@ -448,6 +526,9 @@
         if due {
             term.last_direct = now;
         }
+        if !sends.is_empty() {
+            self.standby.borrow_mut().decided(now);
+        }
         for (machine, address, commands) in sends {
             let (workers, notes) = (self.workers.clone(), term.notes.clone());
             let entitled = self.entitlement(term.mandate.term);
@@ -475,6 +556,7 @@
         let now = self.clock.now();
         let valid = self.validity.holds(term.mandate.term, now);
         let Some(ledger) = &mut term.ledger else { return };
+        debug_assert!(self.standby.borrow().may_decide(term.mandate.term));
         if !valid {
             if !term.paused {
                 tracing::info!("the lease is in doubt: deciding nothing");
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -5,8 +5,10 @@
 use crate::api::Desk;
 use crate::frame::{self, FrameError, FrameVersion};
 use crate::holders::{BlockLease, Renewal};
+use crate::networks::Networks;
 use crate::silence::Silence;
 use hookway_constants as constants;
+use hookway_replication::{FollowAnswer, FollowRequest};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -27,6 +29,8 @@
     Renew(Renewal),
     /// A job is over, and that is durable.
     Over(Told),
+    /// A standby asks for what its copy of the leader's picture lacks. From version 2 on.
+    Follow(FollowRequest),
 }
 
 /// The answer.
@@ -36,6 +40,8 @@
     Verdict(Verdict),
     /// To a renewal; `None`: this node does not lead.
     Block(Option<BlockLease>),
+    /// To a standby; `None`: this node does not lead, or publishes nothing.
+    Followed(Option<FollowAnswer>),
 }
 
 /// Why an exchange with another controller failed.
@@ -117,6 +123,11 @@
         self.addresses.keys().cloned().collect()
     }
 
+    /// Whether there is another controller of this name.
+    pub fn knows(&self, name: &str) -> bool {
+        self.addresses.contains_key(name)
+    }
+
     /// Asks about a user's request.
     pub async fn ask(
         &self,
@@ -129,7 +140,7 @@
         }
         match self.exchange(name, ask, limit_ms).await? {
             PeerAnswer::Verdict(verdict) => Ok(verdict),
-            PeerAnswer::Block(_) => Err(PeerError::Mismatch),
+            PeerAnswer::Block(_) | PeerAnswer::Followed(_) => Err(PeerError::Mismatch),
         }
     }
 
@@ -146,7 +157,21 @@
         match self.exchange(name, &ask, constants::PEER_TIMEOUT_MS).await? {
             PeerAnswer::Block(Some(lease)) => Ok(lease),
             PeerAnswer::Block(None) => Err(PeerError::NotLeading),
-            PeerAnswer::Verdict(_) => Err(PeerError::Mismatch),
+            PeerAnswer::Verdict(_) | PeerAnswer::Followed(_) => Err(PeerError::Mismatch),
+        }
+    }
+
+    /// Asks the leader for what this node's copy lacks.
+    pub async fn follow(
+        &self,
+        name: &str,
+        request: FollowRequest,
+    ) -> Result<FollowAnswer, PeerError> {
+        let ask = PeerAsk::Follow(request);
+        match self.exchange(name, &ask, constants::PEER_TIMEOUT_MS).await? {
+            PeerAnswer::Followed(Some(answer)) => Ok(answer),
+            PeerAnswer::Followed(None) => Err(PeerError::NotLeading),
+            PeerAnswer::Verdict(_) | PeerAnswer::Block(_) => Err(PeerError::Mismatch),
         }
     }
 
@@ -222,10 +247,15 @@
     }
 }
 
-/// Serves the other controllers.
-pub async fn serve(listener: TcpListener, desk: Arc<Desk>) {
+/// Serves the other controllers: whoever connects from these networks, or from anywhere if there are none.
+pub async fn serve(listener: TcpListener, desk: Arc<Desk>, networks: Networks) {
     loop {
         match listener.accept().await {
+            Ok((_, from)) if !networks.allow(from.ip()) => {
+                tracing::info!(
+                    "a connection from {from} refused: not of the controllers' networks"
+                );
+            }
             Ok((mut stream, _)) => {
                 let desk = desk.clone();
                 tokio::spawn(async move {
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -1,7 +1,7 @@
 //! Puts a node together and runs it.
 
 use crate::api::{Desk, Stores};
-use crate::config::{OperatorSettings, Settings};
+use crate::config::{OperatorSettings, Params, Settings};
 use crate::door::Door;
 use crate::holders::{Holding, patience_ms};
 use crate::http;
@@ -9,6 +9,7 @@
 use crate::ledger::Setup;
 use crate::node::Node;
 use crate::peers::{self, Peers};
+use crate::standby::{Standby, StandbySignals};
 use hookway_clients::{CloudClient, StoreClient, WorkerClient};
 use hookway_constants as constants;
 use hookway_wire::MachineType;
@@ -49,6 +50,7 @@
     let (node_tx, asks) = mpsc::channel(constants::MAILBOX);
     let validity = Arc::new(Validity::default());
     let doubt = Arc::new(Notify::new());
+    let signals = StandbySignals::default();
 
     let addresses =
         settings.siblings.iter().map(|s| (s.label.clone(), s.address.clone())).collect();
@@ -76,7 +78,12 @@
         validity: validity.clone(),
         view: view_tx,
         doubt: doubt.clone(),
+        suspicion: signals.suspicion.clone(),
+        lease_ms: operator.replication.leader_lease_ms,
+        warm: signals.warm.clone(),
     };
+    let standby = Standby::new(&label, operator.replication.standby, signals);
+    let controller_networks = operator.replication.controller_networks.clone();
     let node = Node {
         setup: Setup {
             label: label.clone(),
@@ -101,16 +108,27 @@
         finals: desk.finals.clone(),
         deserted_at: std::cell::Cell::new(None),
         holding: std::cell::RefCell::new(Holding::new(&label, rand::random(), patience)),
+        standby: std::cell::RefCell::new(standby),
     };
     // The lease must be extended and users answered whatever a round of the ledger takes: each of the
     // three has a thread of its own.
     on_a_thread("leadership", leadership.run()).map_err(StartError::Thread)?;
     on_a_thread("ledger", node.run()).map_err(StartError::Thread)?;
     tokio::spawn(read_machine_types(cloud, machine_types_tx));
-    tokio::spawn(peers::serve(peer_listener, desk.clone()));
+    tokio::spawn(peers::serve(peer_listener, desk.clone(), controller_networks));
     let holder = desk.clone();
     tokio::spawn(async move { holder.hold_block().await });
-    for t in &settings.settings.teams {
+    let follower = desk.clone();
+    tokio::spawn(async move { follower.follow_leader().await });
+    log_settings(&settings.settings);
+    tracing::info!("{label}: serving on {}", settings.api_addr);
+    Server::new(acceptor).fuse_policy(door).serve(http::service(desk)).await;
+    Ok(())
+}
+
+/// Says what teams may use and what is expected of classes.
+fn log_settings(params: &Params) {
+    for t in &params.teams {
         tracing::info!(
             "team {}: {} CPUs and {} GPUs guaranteed, at most {} and {} (0: none)",
             t.name,
@@ -120,13 +138,10 @@
             t.gpus_max
         );
     }
-    for o in &settings.settings.objectives {
+    for o in &params.objectives {
         let class = o.class.as_deref().unwrap_or("-");
         tracing::debug!("aim: {} of {class} within {:?} s", o.kind, o.within_s);
     }
-    tracing::info!("{label}: serving on {}", settings.api_addr);
-    Server::new(acceptor).fuse_policy(door).serve(http::service(desk)).await;
-    Ok(())
 }
 
 /// Runs an actor on a thread of its own until the process ends.
--- a/crates/replication/src/digest.rs
+++ b/crates/replication/src/digest.rs
@@ -35,8 +35,6 @@
             put_text(&mut hash, id);
             hash.update(&hints.attempt.unwrap_or_default().to_le_bytes());
             hash.update(&hints.errors.to_le_bytes());
-            hash.update(&hints.timed.to_le_bytes());
-            hash.update(&hints.sum_ms.to_le_bytes());
             hash.update(&hints.failed_at.to_le_bytes());
             hash.update(&hints.paused_until.to_le_bytes());
             hints.failed_on.iter().for_each(|machine| put_text(&mut hash, machine));
--- a/crates/replication/src/promotion.rs
+++ b/crates/replication/src/promotion.rs
@@ -1,6 +1,7 @@
 //! The steps of a takeover. Each has its proof, and none can be passed over.
 
 use crate::metrics::TakeoverMetrics;
+use hookway_constants as constants;
 
 /// Where a controller stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -143,6 +144,10 @@
                 self.suspected_at = Some(now);
                 Ok(Step::Look)
             }
+            Event::Silence if self.phase == Phase::Suspecting && self.looks_again(now) => {
+                self.suspected_at = Some(now);
+                Ok(Step::Look)
+            }
             Event::LeaseEnded if matches!(self.phase, Phase::Following | Phase::Suspecting) => {
                 self.phase = Phase::Fencing;
                 self.lease_ended_at = Some(now);
@@ -167,6 +172,12 @@
         }
     }
 
+    /// A look may have come a moment before the lease ended.
+    fn looks_again(&self, now: u64) -> bool {
+        let again = |at: u64| now >= at + constants::SUSPICION_LOOK_EVERY_MS;
+        self.suspected_at.is_none_or(again)
+    }
+
     fn follow(&mut self) {
         self.phase = Phase::Following;
         (self.suspected_at, self.lease_ended_at) = (None, None);
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -89,10 +89,6 @@
     pub paused_until: u64,
     /// Machines that tasks of it failed on, the last ones.
     pub failed_on: Vec<String>,
-    /// Tasks whose run time is known.
-    pub timed: u32,
-    /// Sum of those times, ms.
-    pub sum_ms: u64,
 }
 
 /// Why an entry can't be applied: it speaks of what the copy does not have.
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -9,6 +9,8 @@
     pub token: u64,
     /// Starts that were carried out, as task and attempt.
     pub started: Vec<(String, u64)>,
+    /// What a task's state is right after its start.
+    pub first_state: TaskState,
 }
 
 impl ScriptedWorker {
@@ -26,7 +28,12 @@
             notice_s: None,
             tasks: vec![],
         };
-        Self { report, token: 0, started: vec![] }
+        Self { report, token: 0, started: vec![], first_state: TaskState::Running }
+    }
+
+    /// Its machine.
+    pub fn name(&self) -> &str {
+        &self.report.machine
     }
 
     /// Its zone.
@@ -65,7 +72,7 @@
                         self.report.tasks.push(TaskReport {
                             task: task.clone(),
                             attempt: *attempt,
-                            status: TaskState::Running,
+                            status: self.first_state,
                             cause: None,
                             saved: None,
                         });
@@ -106,6 +113,13 @@
         self.report.tasks[i].cause = Some(cause);
     }
 
+    /// All tasks that have not ended are in this state.
+    pub fn set_state(&mut self, state: TaskState) {
+        for task in self.report.tasks.iter_mut().filter(|t| t.status != TaskState::Ended) {
+            task.status = state;
+        }
+    }
+
     /// A task ends; `false` if it is not there.
     pub fn end(&mut self, task: &str, cause: Cause) -> bool {
         let found =
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod cloud;
 mod job;
+mod replication;
 mod store;
 mod worker;
 
 pub use cloud::*;
 pub use job::*;
+pub use replication::*;
 pub use store::*;
 pub use worker::*;
 
