--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -396,3 +396,5 @@
 pub const LEADER_TTL_RANGE_MS: std::ops::RangeInclusive<u64> = 3_000..=60_000;
 /// While the leader is silent a standby asks the state service this often whether it still leads, ms.
 pub const SUSPICION_LOOK_EVERY_MS: u64 = 1_000;
+/// A leader compares its whole picture with what it has published this often, ms; in between only what was touched.
+pub const PUBLISH_ALL_EVERY_MS: u64 = 10_000;
--- a/crates/controller/src/ledger/checkin.rs
+++ b/crates/controller/src/ledger/checkin.rs
@@ -94,6 +94,7 @@
             self.fill(name, now);
         }
         let commands = self.commands_for(name, now);
+        self.touch(name);
         let machine = self.machines.get_mut(name)?;
         machine.soon = if commands.is_empty() { 0 } else { now + constants::REPORT_SOON_MS };
         let token = self.term + machine.bump;
@@ -153,6 +154,7 @@
     /// A `direct` one answered commands that came straight to the worker: an answer to a report may
     /// have been on its way to it at that moment.
     pub(super) fn take_report(&mut self, name: &str, report: &CheckIn, now: u64, direct: bool) {
+        self.touch(name);
         self.count_running(name, false);
         let Some(machine) = self.machines.get_mut(name) else { return };
         let before = std::mem::take(&mut machine.held);
--- a/crates/controller/src/ledger/departures.rs
+++ b/crates/controller/src/ledger/departures.rs
@@ -140,6 +140,7 @@
 
     /// Everything that was on a machine is gone.
     pub(super) fn clear_machine(&mut self, name: &str, now: u64, why: Leave) {
+        self.touch(name);
         self.count_running(name, false);
         let Some(machine) = self.machines.get_mut(name) else { return };
         machine.ended.clear();
@@ -185,6 +186,7 @@
             .position(|h| h.phase == Phase::Planned && h.attempt == attempt && h.task == task);
         if let Some(i) = found {
             let held = machine.held.remove(i);
+            self.touch(name);
             self.leave(name, &held, Leave::NotStarted, now);
         }
     }
--- a/crates/controller/src/ledger/direct_starts.rs
+++ b/crates/controller/src/ledger/direct_starts.rs
@@ -71,7 +71,9 @@
                 commands.push(Command::Run { task: held.task.clone(), attempt: held.attempt });
             }
             let commands = DirectCommands { token, session: machine.newest.0, commands };
-            sends.push((name, machine.addr.clone(), commands));
+            let address = machine.addr.clone();
+            self.touch(&name);
+            sends.push((name, address, commands));
         }
         self.directs += sends.len();
         sends
@@ -165,6 +167,7 @@
 
     /// Starts that were sent under `token` surely won't arrive any more.
     pub(super) fn not_started(&mut self, name: &str, token: u64) {
+        self.touch(name);
         let Some(machine) = self.machines.get_mut(name) else { return };
         for held in machine.held.iter_mut().filter(|h| h.phase == Phase::Pushed(token)) {
             held.phase = Phase::Planned;
--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -175,6 +175,8 @@
     greet_from: u64,
     /// Both clocks when this leader won.
     began: Moment,
+    /// Machines that may have changed since the last time that changes were published.
+    unpublished: HashSet<String>,
     /// Both clocks, as last told.
     told: Moment,
     /// What was seen of each class.
@@ -273,6 +275,7 @@
             won_at: at.now,
             greet_from: at.now + constants::GREET_AFTER_MS,
             began: at,
+            unpublished: HashSet::new(),
             told: at,
             classes: HashMap::new(),
         };
--- a/crates/controller/src/ledger/replicate.rs
+++ b/crates/controller/src/ledger/replicate.rs
@@ -4,7 +4,7 @@
 //! wherever they were tried, and which attempt of a gang was being started. What runs where is told by the
 //! workers alone, and what was never started by the state service alone.
 
-use super::{Held, Job, Ledger, Machine, Phase};
+use super::{Job, Ledger, Machine, Phase};
 use crate::networks::Networks;
 use hookway_constants as constants;
 use hookway_replication::{JobHints, MachineView, Publisher, ReplicatedState, Stage, TaskView};
@@ -43,20 +43,45 @@
 }
 
 impl Ledger {
+    /// A machine may have changed.
+    pub(super) fn touch(&mut self, name: &str) {
+        if !self.unpublished.contains(name) {
+            self.unpublished.insert(name.to_owned());
+        }
+    }
+
     /// Publishes what has changed since the last time.
-    pub fn publish(&self, publisher: &mut Publisher) {
-        let mut shown = 0;
-        for (name, machine) in self.machines.iter().filter(|(_, m)| is_published(m)) {
-            shown += 1;
-            let view = MachineView { name, address: &machine.addr, session: machine.newest.0 };
-            let task = |held: &Held| (held.attempt, stage(held.phase));
-            let tasks = machine.held.iter().map(|held| {
-                let (attempt, stage) = task(held);
-                TaskView { task: &held.task, attempt, stage }
-            });
-            publisher.show_machine(view, tasks);
+    pub fn publish(&mut self, publisher: &mut Publisher) {
+        for name in std::mem::take(&mut self.unpublished) {
+            self.show(&name, publisher);
+        }
+        self.publish_jobs(publisher);
+    }
+
+    /// Publishes every difference between what was published and what there is.
+    pub fn publish_all(&mut self, publisher: &mut Publisher) {
+        self.unpublished.clear();
+        for name in self.machines.keys() {
+            self.show(name, publisher);
         }
-        publisher.retain_machines(shown, |name| self.machines.get(name).is_some_and(is_published));
+        publisher.retain_machines(|name| self.machines.get(name).is_some_and(is_published));
+        self.publish_jobs(publisher);
+    }
+
+    fn show(&self, name: &str, publisher: &mut Publisher) {
+        let Some(machine) = self.machines.get(name).filter(|m| is_published(m)) else {
+            return publisher.drop_machine(name);
+        };
+        let view = MachineView { name, address: &machine.addr, session: machine.newest.0 };
+        let tasks = machine.held.iter().map(|held| TaskView {
+            task: &held.task,
+            attempt: held.attempt,
+            stage: stage(held.phase),
+        });
+        publisher.show_machine(view, tasks);
+    }
+
+    fn publish_jobs(&self, publisher: &mut Publisher) {
         let mut shown = 0;
         for job in self.jobs.values() {
             if let Some(hints) = self.hints_of(job) {
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -514,6 +514,7 @@
                 job.per_zone[zone] += 1;
             }
             self.planned_on.insert(name.clone());
+            self.unpublished.insert(name.clone());
             machine.idle_since = None;
             machine.kept = machine.kept.filter(|(k, _)| *k != key);
             machine.held.push(Held {
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -130,6 +130,7 @@
     last_direct: u64,
     last_work: u64,
     last_publish: u64,
+    published_all: u64,
 }
 
 impl Node {
@@ -232,6 +233,7 @@
             last_direct: 0,
             last_work: self.clock.now(),
             last_publish: 0,
+            published_all: 0,
         };
         self.start_loading(&mut term);
         let mut tick = tokio::time::interval(Duration::from_millis(constants::TICK_MS));
@@ -377,7 +379,12 @@
                 // Standbys ask one after the other: one comparison serves them all.
                 if now >= term.last_publish + constants::FOLLOW_EVERY_MS / 2 {
                     term.last_publish = now;
-                    ledger.publish(&mut term.publisher);
+                    if now >= term.published_all + constants::PUBLISH_ALL_EVERY_MS {
+                        term.published_all = now;
+                        ledger.publish_all(&mut term.publisher);
+                    } else {
+                        ledger.publish(&mut term.publisher);
+                    }
                 }
                 let answer = term.publisher.answer(&request, now);
                 let _ = reply.send(answer.map_err(|e| tracing::error!("replication: {e}")).ok());
--- a/crates/controller/tests/standby.rs
+++ b/crates/controller/tests/standby.rs
@@ -15,9 +15,9 @@
 const SECOND_TERM: u64 = 1 + constants::TOKENS_PER_TERM;
 
 /// The copy that a standby has which is up to date.
-fn copy_of(ledger: &Ledger) -> ReplicatedState {
+fn copy_of(ledger: &mut Ledger) -> ReplicatedState {
     let mut publisher = Publisher::new(ledger.term());
-    ledger.publish(&mut publisher);
+    ledger.publish_all(&mut publisher);
     publisher.state().clone()
 }
 
@@ -71,7 +71,7 @@
         play.beat(worker);
     }
     assert_eq!(workers.iter().filter(|w| !w.live().is_empty()).count(), 2);
-    let copy = copy_of(&play.ledger);
+    let copy = copy_of(&mut play.ledger);
     (play, workers, copy, id)
 }
 
@@ -117,7 +117,7 @@
         worker.set_state(TaskState::Running);
     }
     settle(&mut play, &mut workers);
-    let copy = copy_of(&play.ledger);
+    let copy = copy_of(&mut play.ledger);
     let task = workers[3].live().remove(0);
     workers[3].end(&task, Cause::Error);
     take_over(&mut play, &copy);
@@ -150,7 +150,7 @@
     let mut workers = fleet(3);
     settle(&mut play, &mut workers);
     // The standby lags: its copy ends here.
-    let copy = copy_of(&play.ledger);
+    let copy = copy_of(&mut play.ledger);
     play.submit(job("req-000001", "array", 3));
     settle(&mut play, &mut workers);
     let before = attempts(&workers).len();
@@ -182,7 +182,7 @@
     settle(&mut play, &mut workers);
     play.submit(job("req-000001", "array", 1));
     settle(&mut play, &mut workers);
-    let mut copy = copy_of(&play.ledger);
+    let mut copy = copy_of(&mut play.ledger);
     let gone = copy.machines["m-1"].tasks()[0].clone();
     let machine = "m-1".to_owned();
     let entry = Entry::TaskGone { machine, task: gone.task, attempt: gone.attempt };
@@ -204,7 +204,7 @@
     let mut play = Play::start();
     let mut workers = fleet(1);
     settle(&mut play, &mut workers);
-    let mut copy = copy_of(&play.ledger);
+    let mut copy = copy_of(&mut play.ledger);
     let ghost = || "m-99".to_owned();
     let task = PlacedTask { task: "req-000009/0".into(), attempt: 7, stage: Stage::Running };
     for entry in [
@@ -230,7 +230,7 @@
     let mut play = Play::start();
     let mut workers = fleet(1);
     settle(&mut play, &mut workers);
-    let copy = copy_of(&play.ledger);
+    let copy = copy_of(&mut play.ledger);
     let store = std::mem::take(&mut play.store);
     play = Play::lead(store, SECOND_TERM, play.now + 5_000);
     let elsewhere = Networks::parse("10.1.0.0/16").expect("a network");
@@ -244,7 +244,7 @@
     let mut play = Play::start();
     let mut workers = fleet(2);
     settle(&mut play, &mut workers);
-    let copy = copy_of(&play.ledger);
+    let copy = copy_of(&mut play.ledger);
     take_over(&mut play, &copy);
     let term = play.ledger.term();
     let asked = play.ledger.take_greetings(play.now);
@@ -267,7 +267,7 @@
         worker.end(&task, Cause::Error);
     }
     settle(&mut play, &mut workers);
-    let copy = copy_of(&play.ledger);
+    let copy = copy_of(&mut play.ledger);
     assert!(copy.jobs[id.as_str()].errors > 0);
     let before = attempts(&workers).len();
     let taken = take_over(&mut play, &copy);
@@ -302,7 +302,7 @@
 fn what_a_leader_publishes_follows_its_picture() {
     let (mut play, mut workers, _, id) = half_placed_gang();
     let mut publisher = Publisher::new(play.ledger.term());
-    play.ledger.publish(&mut publisher);
+    play.ledger.publish_all(&mut publisher);
     let stages: Vec<Stage> = publisher
         .state()
         .machines
@@ -318,7 +318,7 @@
     play.ledger.publish(&mut publisher);
     assert_eq!(
         publisher.state(),
-        &copy_of(&play.ledger),
+        &copy_of(&mut play.ledger),
         "differences lead to the same as a whole"
     );
     assert!(publisher.state().jobs.contains_key(id.as_str()));
@@ -329,7 +329,7 @@
     settle(&mut play, &mut workers);
     play.ledger.deleted(&["m-4".to_owned()], play.now);
     play.ledger.publish(&mut publisher);
-    assert_eq!(publisher.state(), &copy_of(&play.ledger));
+    assert_eq!(publisher.state(), &copy_of(&mut play.ledger));
     assert_eq!((publisher.state().machines.len(), publisher.state().task_count()), (3, 0));
     assert!(publisher.state().jobs.is_empty());
 }
--- a/crates/replication/src/publisher.rs
+++ b/crates/replication/src/publisher.rs
@@ -32,8 +32,9 @@
     pub session: u64,
 }
 
-/// Publishes the changes of a leader's picture. The leader shows its picture as often as it likes; what differs
-/// from the last time becomes entries. So no change can be forgotten, wherever in the leader it is made.
+/// Publishes the changes of a leader's picture. The leader shows machines and jobs as often as it likes; what differs
+/// from the last time becomes entries. A leader that now and then shows everything can forget no change for long,
+/// wherever it was made.
 #[derive(Debug)]
 pub struct Publisher {
     /// What followers have once they have applied the whole log.
@@ -100,16 +101,18 @@
         }
     }
 
-    /// Drops machines that the leader does not have any more. `shown` is how many it has.
-    pub fn retain_machines(&mut self, shown: usize, exists: impl Fn(&str) -> bool) {
-        if self.state.machines.len() == shown {
-            return;
+    /// The leader does not have a machine any more, or never had it.
+    pub fn drop_machine(&mut self, name: &str) {
+        if self.state.machines.contains_key(name) {
+            self.publish(Entry::MachineGone { name: name.to_owned() });
         }
+    }
+
+    /// Drops all machines that the leader does not have any more.
+    pub fn retain_machines(&mut self, exists: impl Fn(&str) -> bool) {
         let gone: Vec<String> =
             self.state.machines.keys().filter(|name| !exists(name)).cloned().collect();
-        for name in gone {
-            self.publish(Entry::MachineGone { name });
-        }
+        gone.iter().for_each(|name| self.drop_machine(name));
     }
 
     /// Shows what is known of a job beside its records.
--- a/crates/replication/tests/following.rs
+++ b/crates/replication/tests/following.rs
@@ -68,7 +68,7 @@
     let moved = MachineView { address: "127.0.0.1:9009", session: 2, ..machine("m-0") };
     publisher.show_machine(moved, [running("req-000001/0", 9)].into_iter());
     publisher.show_machine(machine("m-1"), [].into_iter());
-    publisher.retain_machines(2, |name| name != "m-2");
+    publisher.retain_machines(|name| name != "m-2");
     publisher.show_job("req-000001", JobHints { errors: 2, ..JobHints::default() });
     publisher.show_job("req-000002", JobHints::default());
     publisher.retain_jobs(1, |id| id == "req-000001");
