--- a/crates/controller/src/ledger/mod.rs
+++ b/crates/controller/src/ledger/mod.rs
@@ -175,6 +175,8 @@
     greet_from: u64,
     /// Both clocks when this leader won.
     began: Moment,
+    /// It was said that everything of earlier terms is accounted for.
+    told_settled: bool,
     /// Machines that may have changed since the last time that changes were published.
     unpublished: HashSet<String>,
     /// Both clocks, as last told.
@@ -275,6 +277,7 @@
             won_at: at.now,
             greet_from: at.now + constants::GREET_AFTER_MS,
             began: at,
+            told_settled: false,
             unpublished: HashSet::new(),
             told: at,
             classes: HashMap::new(),
@@ -304,6 +307,16 @@
         self.unheard.is_empty() || self.unheard_over(now)
     }
 
+    /// Says once that everything of earlier terms is accounted for.
+    fn tell_settled(&mut self, now: u64) {
+        if self.told_settled || !self.settled(now) {
+            return;
+        }
+        self.told_settled = true;
+        let after_s = now.saturating_sub(self.won_at) as f64 / 1000.0;
+        tracing::info!("everything of earlier terms is accounted for after {after_s:.1} s");
+    }
+
     /// Whether the leases of all workers that have not reported to this leader are surely over.
     fn unheard_over(&self, now: u64) -> bool {
         let lease = lease_over_ms(&self.setup.params);
--- a/crates/controller/src/ledger/schedule.rs
+++ b/crates/controller/src/ledger/schedule.rs
@@ -323,6 +323,7 @@
     pub fn round(&mut self, now: u64) {
         self.last_round = now;
         self.pass_time(now);
+        self.tell_settled(now);
         self.renew_blocks(now);
         self.mend_gangs(now);
         self.clear_noticed(now);
--- /dev/null
+++ b/crates/controller/tests/world/gangs.rs
@@ -0,0 +1,119 @@
+//! Gangs on the machines: their tasks fetch, wait for one another, run together and end together.
+
+use super::controllers::Controller;
+use super::{Message, World};
+use hookway_testkit::ScriptedWorker;
+use hookway_wire::{Cause, JobSpec, TaskReport, TaskState};
+use rand::RngExt;
+
+/// A gang's task has its image after this long, ms.
+const FETCH: u64 = 1_500;
+/// It gives up when its gang is not complete after this long, ms.
+const GANG_WAIT: u64 = 35_000;
+/// A running task notices within this that another one is gone, ms.
+const GANG_PEER: u64 = 4_000;
+
+impl World {
+    /// A leader ends, or stands still for longer than its lease, while a gang is half placed. Most of what it has
+    /// under way straight to workers is lost with its connections.
+    pub(super) fn strike_amid_gangs(&mut self) {
+        let Some(leader) = self.lead.as_ref().map(|lead| lead.node) else { return };
+        if !self.chance(400) || !self.jobs.iter().any(|spec| self.half_placed(spec)) {
+            return;
+        }
+        let of_leader =
+            |message: &Message| matches!(message, Message::Direct(n, ..) if *n == leader);
+        let under_way = self.queue.iter().filter(|(_, message)| of_leader(message));
+        for at in under_way.map(|(at, _)| *at).collect::<Vec<_>>() {
+            if self.chance(700) {
+                self.queue.remove(&at);
+            }
+        }
+        if self.rng.random_range(0..2) == 0 {
+            self.kill(leader);
+        } else {
+            let until = self.now + self.span(3_000, 20_000);
+            self.controllers[leader].frozen_until = until;
+        }
+    }
+
+    fn half_placed(&self, spec: &JobSpec) -> bool {
+        let there = |index: &u32| {
+            let task = format!("{}/{index}", spec.id);
+            let live = |w: &ScriptedWorker| {
+                w.tasks().iter().any(|t| t.task == task && t.status != TaskState::Ended)
+            };
+            self.machines.iter().any(|m| !m.dead && live(&m.worker))
+        };
+        let placed = (0..spec.tasks).filter(there).count();
+        spec.is_gang() && placed > 0 && placed < spec.tasks as usize
+    }
+
+    /// A gang's task has just been started.
+    pub(super) fn gang_task_started(&mut self, m: usize, task: &str, attempt: u64) {
+        let gang = |j: &JobSpec| j.is_gang() && task.split('/').next() == Some(j.id.as_str());
+        if !self.jobs.iter().any(gang) {
+            return;
+        }
+        self.machines[m].worker.set_task_state(task, TaskState::Pulling);
+        let earlier = self.lead.as_ref().is_some_and(|lead| attempt >> 28 < lead.term);
+        let leads = |c: &Controller| c.leader.as_ref().is_some_and(|l| l.term > attempt >> 28);
+        self.counts.completed_gangs += usize::from(earlier && self.controllers.iter().any(leads));
+    }
+
+    /// The tasks of gangs on a machine go on.
+    pub(super) fn run_gangs(&mut self, m: usize) {
+        let here: Vec<TaskReport> = self.machines[m].worker.tasks().to_vec();
+        for reported in here.iter().filter(|t| t.status != TaskState::Ended) {
+            let (id, _) = reported.task.split_once('/').expect("a task");
+            let spec = self.jobs.iter().find(|j| j.is_gang() && j.id.as_str() == id).cloned();
+            if let Some(spec) = spec {
+                self.run_gang_task(m, reported, &spec);
+            }
+        }
+    }
+
+    fn run_gang_task(&mut self, m: usize, reported: &TaskReport, spec: &JobSpec) {
+        let now = self.now;
+        let (task, attempt) = (reported.task.as_str(), reported.attempt);
+        let since = self.machines[m].since.get(task).copied().unwrap_or(now);
+        let name = |index: u32| format!("{}/{index}", spec.id);
+        let state = |index: u32| {
+            let on = |w: &ScriptedWorker| w.state_of(&name(index), attempt);
+            self.machines.iter().filter(|m| !m.dead).find_map(|m| on(&m.worker))
+        };
+        match reported.status {
+            TaskState::Pulling if now >= since + FETCH => {
+                self.machines[m].worker.set_task_state(task, TaskState::Waiting);
+            }
+            TaskState::Waiting => {
+                let ready = |index| matches!(state(index), Some(TaskState::Waiting));
+                if (0..spec.tasks).all(ready) {
+                    self.start_gang(spec, attempt);
+                } else if now >= since + GANG_WAIT {
+                    self.machines[m].worker.end(task, Cause::Incomplete);
+                }
+            }
+            TaskState::Running => {
+                let gone = |index: u32| state(index).is_none() && !self.done.contains(&name(index));
+                if now >= since + GANG_PEER && (0..spec.tasks).any(gone) {
+                    self.machines[m].worker.end(task, Cause::Peers);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn start_gang(&mut self, spec: &JobSpec, attempt: u64) {
+        let now = self.now;
+        for machine in self.machines.iter_mut().filter(|m| !m.dead) {
+            for index in 0..spec.tasks {
+                let task = format!("{}/{index}", spec.id);
+                if machine.worker.state_of(&task, attempt).is_some() {
+                    machine.worker.set_task_state(&task, TaskState::Running);
+                    machine.since.insert(task, now);
+                }
+            }
+        }
+    }
+}
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -32,11 +32,17 @@
     job.start_by.iter().filter(|by| now > **by).count()
 }
 
-/// The order among jobs of which nothing has run: by priority, then those that can still start in time,
-/// then the oldest.
+/// Whether a part of a gang waits on machines for the rest: it holds places and does no work, and gives up soon.
+fn waits_for_rest(job: &JobView) -> bool {
+    job.gang && job.startable > 0 && job.running > 0
+}
+
+/// The order among jobs of which nothing has run: by priority, then gangs of which a part waits for the rest, then
+/// those that can still start in time, then the oldest.
 pub(crate) fn who_starts_first(a: &JobView, b: &JobView, now: f64) -> std::cmp::Ordering {
     b.priority
         .cmp(&a.priority)
+        .then(waits_for_rest(b).cmp(&waits_for_rest(a)))
         .then(missed_starts(a, now).cmp(&missed_starts(b, now)))
         .then(a.submitted.total_cmp(&b.submitted))
 }
@@ -82,9 +88,10 @@
 }
 
 /// Whether tasks of the job wait of which nothing has run or runs. A replica of a daemon that is not running
-/// counts as such by itself: no other replica does its work.
+/// counts as such by itself: no other replica does its work. A gang that lacks tasks has not begun, whatever of it
+/// waits for them on machines.
 pub(crate) fn waits_unseen(job: &JobView) -> bool {
-    job.unseen() || job.daemon
+    job.unseen() || job.wants_all_at_once()
 }
 
 /// The order of the design, within each priority: jobs with nothing finished or running first, oldest
--- a/crates/policy/src/order/tests.rs
+++ b/crates/policy/src/order/tests.rs
@@ -87,3 +87,22 @@
     let late = 1.0 + constants::START_BOUND_S;
     assert_eq!(order(late)[0], 0, "beyond the bound the oldest goes first");
 }
+
+/// A part of a gang that waits on machines holds them for nothing, and gives up soon.
+#[test]
+fn a_gang_that_waits_for_its_rest_goes_before_older_ones() {
+    let gang = |submitted: f64, running: u32| JobView {
+        gang: true,
+        submitted,
+        running,
+        startable: 8 - running,
+        ..job(1.0, 8)
+    };
+    let jobs = vec![gang(1.0, 0), gang(5.0, 3), gang(2.0, 0)];
+    let list = turns(&jobs, 10.0, 1000.0);
+    let order: Vec<(usize, u32)> = list.iter().map(|t| (t.job, t.tasks)).collect();
+    assert_eq!(order, [(1, 5), (0, 8), (2, 8)]);
+    let higher = JobView { priority: hookway_wire::Priority::Production, ..gang(9.0, 0) };
+    let list = turns(&[jobs[1].clone(), higher], 10.0, 1000.0);
+    assert_eq!(list[0].job, 1, "priority comes first");
+}
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -9,8 +9,8 @@
 use crate::state::{ApplyError, ReplicatedState};
 use hookway_constants as constants;
 
-/// Why an answer was refused. An answer of another term than the leader's is passed over; after everything else
-/// the follower fetches a new image.
+/// Why an answer was refused. One of another term than the leader's, or that does not go on from the copy, is passed
+/// over; after everything else the copy is not trusted any more, and the follower fetches an image.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum FollowError {
     /// It comes from a leader of an earlier term.
@@ -69,7 +69,7 @@
 /// What an answer brought.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Progress {
-    /// So many entries.
+    /// So many entries that the copy lacked; none if the answer is late, or came before.
     Applied(usize),
     /// A piece of an image.
     Piece,
@@ -80,6 +80,13 @@
     },
 }
 
+impl FollowError {
+    /// Whether the copy is as good as before: the answer belongs elsewhere, and says nothing of the copy.
+    fn spares_copy(&self) -> bool {
+        matches!(self, Self::OldTerm { .. } | Self::FutureTerm { .. } | Self::Gap { .. })
+    }
+}
+
 /// Why a copy can't help a new leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Unusable {
@@ -165,6 +172,7 @@
         };
         match &taken {
             Ok(_) => self.metrics.heard(self.behind(end), now),
+            Err(error) if error.spares_copy() => {}
             Err(_) => {
                 self.metrics.resyncs += 1;
                 self.assembly = None;
@@ -189,17 +197,24 @@
         entries: Vec<Entry>,
         digest: Option<RangeDigest>,
     ) -> Result<Progress, FollowError> {
-        let position = self.position.filter(|_| !self.diverged);
-        if position != Some(after) {
-            return Err(FollowError::Gap { expected: position, found: after });
-        }
+        let gap = FollowError::Gap { expected: self.position, found: after };
+        let Some(position) = self.position.filter(|p| p.term == after.term && !self.diverged)
+        else {
+            return Err(gap);
+        };
+        // A late answer, or a copy of one, begins with entries that were applied.
+        let known = position.index.checked_sub(after.index).ok_or(gap)?;
         let count = entries.len();
         let index = after.index.checked_add(count as u64);
         let last = Position { index: index.unwrap_or(u64::MAX), ..after };
         if index.is_none() || after.term != end.term || last.index > end.index {
             return Err(FollowError::Impossible { last, end });
         }
-        for (before, entry) in (after.index..).zip(entries) {
+        if last.index < position.index {
+            return Ok(Progress::Applied(0));
+        }
+        let known = usize::try_from(known).unwrap_or(usize::MAX);
+        for (before, entry) in (after.index..).zip(entries).skip(known) {
             let index = before + 1;
             self.state.apply(entry).map_err(|why| FollowError::Entry { index, why })?;
         }
@@ -209,7 +224,7 @@
         {
             return Err(FollowError::Diverged { range: theirs.range, position: last });
         }
-        Ok(Progress::Applied(count))
+        Ok(Progress::Applied(count.saturating_sub(known)))
     }
 
     fn take_piece(&mut self, end: Position, piece: ImagePiece) -> Result<Progress, FollowError> {
@@ -217,6 +232,9 @@
         if position.term != end.term || position.index > end.index {
             return Err(FollowError::Impossible { last: position, end });
         }
+        if self.is_late(&piece) {
+            return Ok(Progress::Applied(0));
+        }
         // The first piece of another image: the leader could not go on with the one before.
         let mut assembly = match self.assembly.take().filter(|a| a.matches(&piece)) {
             Some(assembly) => assembly,
@@ -239,6 +257,17 @@
         Ok(Progress::Image { differing })
     }
 
+    /// Whether a piece brings nothing: the copy has what its image has, or the piece itself was taken.
+    fn is_late(&self, piece: &ImagePiece) -> bool {
+        match &self.assembly {
+            Some(assembly) => assembly.matches(piece) && piece.number < assembly.next,
+            None => {
+                let newer = |p: &Position| p.term == piece.position.term && *p >= piece.position;
+                !self.diverged && self.position.as_ref().is_some_and(newer)
+            }
+        }
+    }
+
     /// Where the copy is.
     pub fn position(&self) -> Option<Position> {
         self.position
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -113,6 +113,30 @@
         self.report.tasks[i].cause = Some(cause);
     }
 
+    /// What it would report of its tasks.
+    pub fn tasks(&self) -> &[TaskReport] {
+        &self.report.tasks
+    }
+
+    /// The state of an attempt that is on the machine and has not ended.
+    pub fn state_of(&self, task: &str, attempt: u64) -> Option<TaskState> {
+        let found = &self.report.tasks[self.find(task, attempt)?];
+        (found.status != TaskState::Ended).then_some(found.status)
+    }
+
+    /// Whether some attempt of a task runs.
+    pub fn runs(&self, task: &str) -> bool {
+        self.report.tasks.iter().any(|t| t.task == task && t.status == TaskState::Running)
+    }
+
+    /// A task that has not ended is in this state.
+    pub fn set_task_state(&mut self, task: &str, state: TaskState) {
+        let live = |t: &&mut TaskReport| t.task == task && t.status != TaskState::Ended;
+        for task in self.report.tasks.iter_mut().filter(live) {
+            task.status = state;
+        }
+    }
+
     /// All tasks that have not ended are in this state.
     pub fn set_state(&mut self, state: TaskState) {
         for task in self.report.tasks.iter_mut().filter(|t| t.status != TaskState::Ended) {
