After a takeover workers are asked again, those that reported with the old token too

Cause: with 1,504 addresses known at once a new leader still took 10 to 18 s until everything of earlier terms was accounted for. 99% were after 3 s; the rest had reported once with the old token and were not asked, since they counted as heard (next regular report: 8 s), or did not answer the one question (a hung or dead machine), and were given back after 17 s only. Now each is asked each 2 s until it shows the token; three questions in vain, where most of the zone answered, give a machine back.

--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -398,3 +398,8 @@
 pub const SUSPICION_LOOK_EVERY_MS: u64 = 1_000;
 /// A leader compares its whole picture with what it has published this often, ms; in between only what was touched.
 pub const PUBLISH_ALL_EVERY_MS: u64 = 10_000;
+/// A worker that has not shown a new leader's token is asked again after this, ms.
+pub const GREET_AGAIN_MS: u64 = 2_000;
+/// Questions without an answer in a row after which a machine counts as gone at a takeover, where most of its zone
+/// answered.
+pub const GREETINGS_IN_VAIN: u32 = 3;
--- a/crates/controller/src/ledger/departures.rs
+++ b/crates/controller/src/ledger/departures.rs
@@ -154,7 +154,10 @@
     /// A machine is proven gone.
     pub(super) fn machine_gone(&mut self, name: &str, now: u64) {
         self.clear_machine(name, now, Leave::Lost);
-        self.machines.remove(name);
+        let removed = self.machines.remove(name);
+        if removed.is_some_and(|machine| machine.asked.under_way) {
+            self.greetings = self.greetings.saturating_sub(1);
+        }
         self.writer.roster.drop(name);
         self.unheard.remove(name);
         self.blocks.forget(name);
--- a/crates/controller/src/ledger/direct_starts.rs
+++ b/crates/controller/src/ledger/direct_starts.rs
@@ -115,11 +115,12 @@
         }
     }
 
-    /// Workers that have not reported since the takeover and should be asked what is on their machines: name
+    /// Workers that have not shown this leader's token and should be asked what is on their machines: name
     /// and address. The outcome comes with [`Ledger::greeted`].
     ///
     /// A worker finds a new leader only after its report to the old one has failed, which takes it some
-    /// seconds for each controller that hangs; until all have reported, most work of earlier terms waits.
+    /// seconds for each controller that hangs, and shows the new token with the report after that, which may be its
+    /// next regular one; until all have, most work of earlier terms waits.
     pub fn take_greetings(&mut self, now: u64) -> Vec<(String, String)> {
         let room = constants::GREETINGS_AT_MOST.saturating_sub(self.greetings);
         if room == 0 || self.unheard.is_empty() || now < self.greet_from {
@@ -131,12 +132,8 @@
                 break;
             }
             let Some(machine) = self.machines.get_mut(name) else { continue };
-            if !machine.heard
-                && !machine.greeted
-                && !machine.addr.is_empty()
-                && machine.closing.is_none()
-            {
-                machine.greeted = true;
+            if machine.to_be_asked(now) {
+                machine.asked.begin(now);
                 chosen.push((name.clone(), machine.addr.clone()));
             }
         }
@@ -148,18 +145,24 @@
     /// everything: whatever an earlier leader sent, the worker refuses from then on. It renewed no lease; but
     /// the worker may be in a session whose lease began just now.
     pub fn greeted(&mut self, name: &str, report: Option<CheckIn>, now: u64) {
-        self.greetings = self.greetings.saturating_sub(1);
-        let Some(report) = report.filter(|r| r.machine == name && r.token >= self.term) else {
-            return;
-        };
+        let report = report.filter(|r| r.machine == name && r.token >= self.term);
         let Some(machine) = self.machines.get_mut(name) else { return };
+        if machine.asked.under_way {
+            machine.asked.end(report.is_some());
+            self.greetings = self.greetings.saturating_sub(1);
+        }
+        let Some(report) = report else { return };
         let stamp = (report.session, report.tick);
         let over = report.session <= machine.dead_session || machine.closing.is_some();
-        if over || machine.heard || stamp <= machine.newest {
+        // A session that began since its last report: its next report tells, and clears what the last one held.
+        let other_session = machine.heard && report.session != machine.newest.0;
+        if over || other_session || stamp <= machine.newest {
             return;
         }
-        machine.heard = true;
-        machine.last_answer = now;
+        if !machine.heard {
+            machine.heard = true;
+            machine.last_answer = now;
+        }
         machine.described(&report, now);
         self.unheard.remove(name);
         self.take_report(name, &report, now, true);
--- a/crates/controller/src/ledger/fleet.rs
+++ b/crates/controller/src/ledger/fleet.rs
@@ -284,11 +284,14 @@
     }
 
     /// Machines of the roster that have not reported since the takeover while most others of their zone
-    /// have.
-    fn unheard_lost(&self) -> HashSet<String> {
+    /// have. Before `patience_over` those only that do not answer either.
+    fn unheard_lost(&self, patience_over: bool) -> HashSet<String> {
         let unheard = |name: &str| self.unheard.contains(name);
+        let gone = |h: &Machine| patience_over || !h.heard && h.asked.fruitless();
         let few = self.few_missing(|h| h.heard || !h.zone.is_empty(), |name, _| unheard(name));
-        let lost = |(name, h): &(&String, &Machine)| unheard(name) && few.contains(h.zone.as_str());
+        let lost = |(name, h): &(&String, &Machine)| {
+            unheard(name) && gone(h) && few.contains(h.zone.as_str())
+        };
         self.machines.iter().filter(lost).map(|(name, _)| name.clone()).collect()
     }
 
@@ -310,14 +313,14 @@
         let report_ms = self.setup.params.workers.report_s * 1000.0;
         let unheard_patience =
             (report_ms * constants::LONGEST_REPORT) as u64 + constants::UNHEARD_RETURN_MS;
-        let unheard_go = !settled
-            && waiting
-            && now >= self.won_at.max(self.resumed_at) + unheard_patience
-            && now + constants::UNHEARD_WORTH_MS < self.unheard_since + lease;
+        let patience_over = now >= self.won_at.max(self.resumed_at) + unheard_patience;
+        let unheard_go =
+            !settled && waiting && now + constants::UNHEARD_WORTH_MS < self.unheard_since + lease;
         self.note_needs(now);
         let spares = self.spares(now);
         let lost = self.silent_machines(now, unheard_patience);
-        let unheard_lost = if unheard_go { self.unheard_lost() } else { HashSet::new() };
+        let unheard_lost =
+            if unheard_go { self.unheard_lost(patience_over) } else { HashSet::new() };
         for (name, machine) in &mut self.machines {
             let cut = cut.contains(&machine.zone);
             let needed = cut || needed.contains(name.as_str());
--- a/crates/controller/src/ledger/model.rs
+++ b/crates/controller/src/ledger/model.rs
@@ -387,6 +387,42 @@
     }
 }
 
+/// A new leader's questions to a worker that has not shown its token yet.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Asked {
+    /// One is under way.
+    pub under_way: bool,
+    /// Those that were not answered, in a row.
+    pub in_vain: u32,
+    /// When the last one was sent, ms.
+    pub last_at: Option<u64>,
+}
+
+impl Asked {
+    /// Whether it may be asked again.
+    fn due(&self, now: u64) -> bool {
+        let waited = |at: u64| now >= at + constants::GREET_AGAIN_MS;
+        !self.under_way && self.last_at.is_none_or(waited)
+    }
+
+    /// It is asked now.
+    pub fn begin(&mut self, now: u64) {
+        self.under_way = true;
+        self.last_at = Some(now);
+    }
+
+    /// It answered, or did not.
+    pub fn end(&mut self, answered: bool) {
+        self.under_way = false;
+        self.in_vain = if answered { 0 } else { self.in_vain + 1 };
+    }
+
+    /// It does not answer: its worker, or the way to it, is gone.
+    pub fn fruitless(&self) -> bool {
+        !self.under_way && self.in_vain >= constants::GREETINGS_IN_VAIN
+    }
+}
+
 /// A machine.
 #[derive(Debug)]
 pub struct Machine {
@@ -400,8 +436,8 @@
     pub addr: String,
     /// Its worker has reported to this leader.
     pub heard: bool,
-    /// It was asked by this leader what is on it.
-    pub greeted: bool,
+    /// How this leader's questions what is on it went.
+    pub asked: Asked,
     /// Newest message: session and sequence number.
     pub newest: (u64, u64),
     /// Newest report that it sent by itself: session and sequence number.
@@ -459,7 +495,7 @@
             spot: false,
             addr: String::new(),
             heard: false,
-            greeted: false,
+            asked: Asked::default(),
             newest: (0, 0),
             reported: (0, 0),
             bump: 0,
@@ -486,6 +522,13 @@
         }
     }
 
+    /// Whether it should be asked what is on it: it has not reported, or its report came before this leader's token
+    /// did and another one is not to be expected at once.
+    pub fn to_be_asked(&self, now: u64) -> bool {
+        let reports_soon = self.heard && now < self.last_answer + constants::REPORT_SOON_MS;
+        self.asked.due(now) && !reports_soon && !self.addr.is_empty() && self.closing.is_none()
+    }
+
     /// What its newest message says of the machine itself.
     pub fn described(&mut self, report: &CheckIn, now: u64) {
         self.newest = (report.session, report.tick);
--- a/crates/controller/tests/standby.rs
+++ b/crates/controller/tests/standby.rs
@@ -9,7 +9,7 @@
 use hookway_controller::networks::Networks;
 use hookway_replication::{Entry, JobHints, PlacedTask, Publisher, ReplicatedState, Stage};
 use hookway_testkit::ScriptedWorker;
-use hookway_wire::{Cause, JobId, JobState, TaskState};
+use hookway_wire::{Cause, JobId, JobState, ListedMachine, MachineState, TaskState};
 use play::{Play, job, setup, small};
 
 const SECOND_TERM: u64 = 1 + constants::TOKENS_PER_TERM;
@@ -333,3 +333,68 @@
     assert_eq!((publisher.state().machines.len(), publisher.state().task_count()), (3, 0));
     assert!(publisher.state().jobs.is_empty());
 }
+
+/// A worker whose report came with the old token would show the new one with its next regular report only.
+#[test]
+fn workers_that_reported_with_the_old_token_are_asked_as_well() {
+    let mut play = Play::start();
+    let mut workers = fleet(2);
+    settle(&mut play, &mut workers);
+    let copy = copy_of(&mut play.ledger);
+    take_over(&mut play, &copy);
+    for worker in &mut workers {
+        play.beat(worker);
+    }
+    assert!(!play.ledger.settled(play.now), "their reports may be from before the takeover");
+    assert!(play.ledger.take_greetings(play.now).is_empty(), "they report again at once");
+    play.now += constants::REPORT_SOON_MS;
+    assert_eq!(answer_greetings(&mut play, &mut workers), 2);
+    assert!(play.ledger.settled(play.now));
+}
+
+/// A worker that does not answer is asked again; where the others of its zone answer it is given back, and the
+/// deletion proves what was on it gone.
+#[test]
+fn a_machine_that_answers_no_question_is_given_back_soon_after_a_takeover() {
+    let mut play = Play::start();
+    let mut workers = fleet(8);
+    settle(&mut play, &mut workers);
+    play.submit(job("req-000001", "array", 9));
+    settle(&mut play, &mut workers);
+    let copy = copy_of(&mut play.ledger);
+    workers.pop();
+    take_over(&mut play, &copy);
+    // The cloud still lists it, and says in which zone it is.
+    let list: Vec<ListedMachine> =
+        (1..=8).map(|n| play::listed(&format!("m-{n}"), MachineState::Running, 60.0)).collect();
+    play.ledger.listed(&list, play.now, play.now);
+    let begun = play.now;
+    let deleted = loop {
+        for (name, _) in play.ledger.take_greetings(play.now) {
+            let worker = workers.iter_mut().find(|w| w.name() == name);
+            let token = play.ledger.term();
+            let hello = hookway_wire::DirectCommands { token, session: 1, commands: vec![] };
+            let report = worker.and_then(|w| w.commands(&hello));
+            play.ledger.greeted(&name, report, play.now);
+        }
+        for worker in &mut workers {
+            play.beat(worker);
+        }
+        play.wait(500);
+        let deleted = play.ledger.fleet_round(play.now).into_iter().find_map(|a| match a {
+            hookway_controller::ledger::FleetAction::Delete(names) => Some(names),
+            hookway_controller::ledger::FleetAction::Rent(_) => None,
+        });
+        if let Some(names) = deleted {
+            break names;
+        }
+        assert!(play.now < begun + 60_000, "never");
+    };
+    assert_eq!(deleted, ["m-8"]);
+    let after = play.now - begun;
+    let asked = u64::from(constants::GREETINGS_IN_VAIN - 1) * constants::GREET_AGAIN_MS;
+    assert!((asked..asked + 1_500).contains(&after), "{after} ms");
+    assert!(!play.ledger.settled(play.now), "only the cloud's answer proves it");
+    play.ledger.deleted(&deleted, play.now);
+    assert!(play.ledger.settled(play.now));
+}
--- a/crates/controller/tests/world/controllers.rs
+++ b/crates/controller/tests/world/controllers.rs
@@ -396,6 +396,8 @@
         }
         for (machine, _) in greetings {
             self.send(|| Message::Greet(n, term, index(&machine) - 1));
+            // Whatever comes back, the sender gives up after a while.
+            self.at(now + constants::WORKER_TIMEOUT_MS, Message::Greeted(n, term, machine, None));
         }
         if let Some(commit) = commit {
             self.check_limits(n, &commit.transaction);
--- a/crates/controller/tests/world/users.rs
+++ b/crates/controller/tests/world/users.rs
@@ -31,6 +31,8 @@
             // All tasks of a gang must find room in its team's limit.
             _ if gang && self.standby_day => self.span(2, if team == "tight" { 5 } else { 7 }),
             _ if gang || self.long(&n.to_string()) => self.span(1, 4),
+            // Where arrays fill all machines, gangs have no room to be completed in.
+            _ if self.standby_day => self.span(1, 8),
             "tight" => self.span(1, 16),
             _ => self.span(1, 80),
         };
