--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -1,19 +1,23 @@
 use crate::MemoryStore;
-use hookway_wire::{Change, CommitAnswer, Event, Grant, KeyPage, Transaction, WatchAnswer};
+use hookway_wire::{
+    Change, CommitAnswer, Event, Grant, GrantRequest, KeyPage, Transaction, WatchAnswer,
+};
 use salvo::conn::TcpListener;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde_json::json;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// Everything behind the server.
 #[derive(Debug, Default)]
 struct Inner {
     store: MemoryStore,
-    permits: HashSet<u64>,
+    /// By lease: its length, and when it runs out if nobody extends it.
+    permits: HashMap<u64, (Duration, Instant)>,
     next_lease: u64,
     refusing: bool,
     /// Watches hear nothing, as if their connections had died unnoticed.
@@ -73,19 +77,50 @@
         result
     }
 
+    /// From now on leases run out by the clock.
+    pub fn let_leases_run_out(&self) {
+        const LOOK_EVERY: Duration = Duration::from_millis(10);
+        let server = self.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(LOOK_EVERY).await;
+                let now = Instant::now();
+                let over =
+                    |(id, (_, until)): (&u64, &(Duration, Instant))| (now >= *until).then_some(*id);
+                let over: Vec<u64> = server.lock().permits.iter().filter_map(over).collect();
+                for lease_id in over {
+                    server.end(lease_id);
+                }
+            }
+        });
+    }
+
     /// A lease without a request.
     pub fn grant(&self) -> u64 {
+        const LONG: Duration = Duration::from_secs(3_600);
+        self.grant_for(LONG)
+    }
+
+    fn grant_for(&self, length: Duration) -> u64 {
         let mut inner = self.lock();
         inner.next_lease += 1;
         let lease_id = inner.next_lease;
-        inner.permits.insert(lease_id);
+        inner.permits.insert(lease_id, (length, Instant::now() + length));
         lease_id
     }
 
+    /// Extends a lease; `false`: there is none.
+    fn extend(&self, lease_id: u64) -> bool {
+        let mut inner = self.lock();
+        let Some((length, until)) = inner.permits.get_mut(&lease_id) else { return false };
+        *until = Instant::now() + *length;
+        true
+    }
+
     /// Ends a lease, as if it had not been extended in time.
     pub fn end(&self, lease_id: u64) -> bool {
         let mut inner = self.lock();
-        let had = inner.permits.remove(&lease_id);
+        let had = inner.permits.remove(&lease_id).is_some();
         inner.store.end_lease(lease_id);
         drop(inner);
         self.changed.notify_waiters();
@@ -181,21 +216,30 @@
                     }
                 }
             }
-            What::Grant => res.render(Json(Grant { lease_id: server.grant() })),
-            What::Extend if server.lock().permits.contains(&id) => res.render(Json(json!({}))),
+            What::Grant => {
+                let length = req.parse_json::<GrantRequest>().await.map(|r| r.ttl_ms).unwrap_or(0);
+                let lease_id = server.grant_for(Duration::from_millis(length));
+                res.render(Json(Grant { lease_id }));
+            }
+            What::Extend if server.extend(id) => res.render(Json(json!({}))),
             What::End if server.end(id) => res.render(Json(json!({}))),
             What::Extend | What::End => {
                 res.status_code(StatusCode::NOT_FOUND);
             }
             What::Watch => {
                 let after = req.query::<u64>("After").unwrap_or_default();
+                let wait = Duration::from_millis(req.query::<u64>("WaitMs").unwrap_or_default());
+                let mut over = Box::pin(tokio::time::sleep(wait));
                 let events = loop {
                     let changed = server.changed.notified();
                     let events: Vec<Event> = server.lock().store.events(&prefix, after);
                     if !events.is_empty() && !server.lock().mute_watches {
                         break events;
                     }
-                    changed.await;
+                    tokio::select! {
+                        () = changed => {}
+                        () = &mut over => break Vec::new(),
+                    }
                 };
                 let revision = server.lock().store.revision();
                 res.render(Json(WatchAnswer { revision, events }));
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -36,6 +36,11 @@
         &self.report.machine
     }
 
+    /// Where it says that it listens.
+    pub fn set_address(&mut self, address: &str) {
+        address.clone_into(&mut self.report.addr);
+    }
+
     /// Its zone.
     pub fn zone(&self) -> &str {
         &self.report.zone
