--- a/crates/hookway/tests/standby.rs
+++ b/crates/hookway/tests/standby.rs
@@ -1,10 +1,11 @@
 //! Real controller processes on loopback, killed and frozen again and again, against stand-ins for the state service,
 //! the cloud and the workers. Every start is checked; in CI no time is asserted, but for limits that only tell a test
-//! that would wait for ever. `HOOKWAY_TAKEOVERS=100` plays more of them and prints how long they took.
+//! that would wait for ever. `HOOKWAY_TAKEOVERS=100` plays more of them and prints how long they took, and
+//! `HOOKWAY_STANDBY=off` does so without standbys, for comparison.
 #![allow(clippy::expect_used, reason = "a helper of a test may fail like the test itself")]
 
 use hookway_clients::{ApiClient, HttpClient};
-use hookway_testkit::{Fleet, StoreServer};
+use hookway_testkit::{Fleet, HistoryEvent, StoreServer, TaskEvent};
 use hookway_wire::{JobId, JobSpec, JobState, ReplicationStatus};
 use hyper::Method;
 use nix::sys::signal::{Signal, kill};
@@ -19,6 +20,8 @@
 const WORKER_LEASE: Duration = Duration::from_secs(14);
 const RUN_TIME: Duration = Duration::from_secs(1);
 const MACHINES: usize = 6;
+/// What an ended leader had sent arrives within this.
+const IN_FLIGHT: Duration = Duration::from_millis(500);
 
 /// An address that was free a moment ago.
 fn free_address() -> String {
@@ -41,9 +44,18 @@
     }
 }
 
+/// Whether controllers follow the leader.
+fn standbys() -> bool {
+    std::env::var("HOOKWAY_STANDBY").as_deref() != Ok("off")
+}
+
 /// Starts a process; it goes on in the log of the one before it.
 fn spawn(settings: &Path) -> Child {
-    let operator = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/standby.ini");
+    let operator = if standbys() {
+        PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/standby.ini"))
+    } else {
+        settings.with_extension("ini")
+    };
     let log = settings.with_extension("log");
     let log = std::fs::File::options().create(true).append(true).open(log).expect("a log file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_hookway"));
@@ -112,6 +124,8 @@
             let settings = folder.join(format!("{name}.toml"));
             let text = settings_of(n, &names, &apis, &peers, &cloud, &state);
             std::fs::write(&settings, text).expect("a file");
+            let cold = "[replication]\nstandby = off\nleader_lease_s = 4.3\n";
+            std::fs::write(settings.with_extension("ini"), cold).expect("a file");
             let process = spawn(&settings);
             let (name, api) = ((*name).to_owned(), apis[n].clone());
             controllers.push(Controller { name, api, settings, process });
@@ -139,6 +153,9 @@
 
     /// A standby whose copy has so many tasks, or more.
     async fn wait_for_copy(&self, leader: usize, tasks: usize) {
+        if !standbys() {
+            return;
+        }
         wait_for("a copy", async || {
             for (n, controller) in self.controllers.iter().enumerate() {
                 let told = controller.replication().await.filter(|_| n != leader);
@@ -193,12 +210,29 @@
         .await;
     }
 
+    /// When the first task was started after a moment.
+    async fn first_start_after(&self, moment: Instant) -> Instant {
+        wait_for("a start", async || {
+            let history = self.fleet.history();
+            let start = |e: &&HistoryEvent| e.event == TaskEvent::Start && e.at > moment;
+            history.iter().find(start).map(|e| e.at)
+        })
+        .await
+    }
+
     fn check(&self) {
         let broken = self.fleet.broken();
         assert!(broken.is_empty(), "{broken:?}");
     }
 }
 
+fn print_quantiles(what: &str, times: &mut [Duration]) {
+    times.sort();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share).round() as usize].as_millis();
+    let (half, most, last) = (at(0.5), at(0.9), at(1.0));
+    println!("{what}: p50 {half} ms, p90 {most} ms, longest {last} ms of {}", times.len());
+}
+
 fn settings_of(
     n: usize,
     names: &[&str],
@@ -277,7 +311,7 @@
     let takeovers: usize =
         std::env::var("HOOKWAY_TAKEOVERS").ok().and_then(|n| n.parse().ok()).unwrap_or(4);
     let mut cluster = Cluster::start("takeovers").await;
-    let mut times = Vec::new();
+    let (mut times, mut starts) = (Vec::new(), Vec::new());
     for n in 0..takeovers {
         let leader = cluster.leader().await;
         let array = cluster.submit(2 * n + 10, "array", 9).await;
@@ -292,6 +326,7 @@
         }
         let next = cluster.leader_other_than(Some(leader)).await;
         times.push(begun.elapsed());
+        starts.push(cluster.first_start_after(begun + IN_FLIGHT).await - begun);
         if frozen && n % 4 == 3 {
             // It wakes long after: everything that it had under way is stale.
             cluster.wait_until_done(&array).await;
@@ -308,13 +343,13 @@
         wait_for("the old controller to follow", async || {
             let told = old.replication().await?;
             let follows = told.phase == "following" || next == leader;
-            (follows && told.copy == "usable").then_some(())
+            (follows && (told.copy == "usable" || !standbys())).then_some(())
         })
         .await;
         cluster.check();
     }
-    times.sort();
-    println!("from the end of the old leader to the next: {times:?}");
+    print_quantiles("to the next leader", &mut times);
+    print_quantiles("to its first start", &mut starts);
     for controller in &cluster.controllers {
         println!("{}: {:?}", controller.name, controller.replication().await);
     }
