--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,24 +1,25 @@
 //! The node's actor. It owns the ledger while the node leads, answers what is asked of it, and
 //! carries out what the ledger wants from the state service and the cloud.
 
+mod messages;
+mod records_io;
+
+pub use messages::{Ask, CheckInReply};
+
 use crate::answers::Finals;
-use crate::holders::{BlockLease, Holding, Renewal};
+use crate::holders::Holding;
 use crate::lead::{Clock, Mandate, Validity, View};
-use crate::ledger::{
-    Cancellation, Commit, CommitResult, FleetAction, Ledger, Loaded, Lookup, Moment, Setup,
-};
-use crate::records::{CLASSES, IMAGES, JOBS, MINIMUMS, PROGRESS, ROSTER};
+use crate::ledger::{Cancellation, FleetAction, Ledger, Moment, Setup};
+use crate::records::JOBS;
 use crate::standby::Standby;
 use hookway_clients::{
-    CloudClient, CloudError, CommitOutcome, Delivery, RentOutcome, StoreClient, StoreError,
-    WorkerClient,
+    CloudClient, CloudError, Delivery, RentOutcome, StoreClient, StoreError, WorkerClient,
 };
 use hookway_constants as constants;
-use hookway_replication::{FollowAnswer, FollowRequest, Publisher};
-use hookway_wire::{
-    CheckIn, CheckInAnswer, Command, Event, JobId, ListedMachine, MachineType, RentRequest,
-    ReplicationStatus,
-};
+use hookway_replication::Publisher;
+use hookway_wire::{CheckIn, CheckInAnswer, Command, Event, JobId, MachineType, ReplicationStatus};
+use messages::Note;
+use records_io::{carry_out, load};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,61 +27,6 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// What is asked of the node. `None` in a reply: this node does not lead.
-#[derive(Debug)]
-pub enum Ask {
-    /// A worker reports.
-    CheckIn(CheckIn, oneshot::Sender<CheckInReply>),
-    /// A job's state.
-    Status(JobId, oneshot::Sender<Option<Lookup>>),
-    /// Cancel a job; answered once the decision is durable.
-    Cancel(JobId, oneshot::Sender<Option<Cancellation>>),
-    /// A job's record was found in the state service, in this term. A record that was read in an
-    /// earlier term may be of a job that ended since.
-    Adopt(Option<u64>, String, serde_json::Value, oneshot::Sender<Option<()>>),
-    /// Another controller asks for its block.
-    Renew(Renewal, oneshot::Sender<Option<BlockLease>>),
-    /// What this node has to say when it asks the leader for its block, and the time, ms. `None`: it leads.
-    Renewal(oneshot::Sender<Option<(Renewal, u64)>>),
-    /// The leader's answer to what was sent at that time, ms.
-    Leased(BlockLease, u64),
-    /// A standby asks for what its copy lacks.
-    Follow(FollowRequest, oneshot::Sender<Option<FollowAnswer>>),
-    /// What this node asks the leader for its own copy. `None`: it leads, or keeps none.
-    FollowRequest(oneshot::Sender<Option<FollowRequest>>),
-    /// The leader's answer to that.
-    Followed(FollowAnswer),
-    /// How replication stands, for operators.
-    Replication(oneshot::Sender<Option<ReplicationStatus>>),
-}
-
-/// The answer to a report.
-#[derive(Debug, Clone, PartialEq)]
-pub enum CheckInReply {
-    /// Commands. They may go out before this moment only: a process can stand still between the decision
-    /// and the answer, and another controller may be entitled by then.
-    Answer(CheckInAnswer, Instant),
-    /// This node does not lead; that one does, if known.
-    Elsewhere(Option<String>),
-    /// Not entitled, or the report is old.
-    Unsure,
-}
-
-/// What the node's helpers bring back.
-enum Note {
-    Loaded(Loaded, u64),
-    JobPut(String, serde_json::Value),
-    Committed(Commit, CommitResult),
-    Rented(RentRequest, Option<Vec<String>>),
-    Deleted(Vec<String>, bool),
-    Listed(Vec<ListedMachine>, u64),
-    Delivered(String, u64, Delivery),
-    Greeted(String, Option<CheckIn>),
-    /// The state service does not answer, or refuses: what waits for a write waits for long.
-    StoreAway,
-    Reload,
-}
-
 /// The node's actor.
 pub struct Node {
     /// What the ledger needs to know.
@@ -692,53 +638,3 @@
 async fn pause(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
-
-async fn load(store: &StoreClient) -> Result<(Loaded, u64), StoreError> {
-    let (jobs, revision) = store.list(JOBS).await?;
-    let (progress, _) = store.list(PROGRESS).await?;
-    let (minimums, _) = store.list(MINIMUMS).await?;
-    let (roster, _) = store.list(ROSTER).await?;
-    let (images, _) = store.list(IMAGES).await?;
-    let classes = store.get(CLASSES).await?;
-    Ok((Loaded { jobs, progress, minimums, roster, images, classes, marked: false }, revision))
-}
-
-/// Commits; if the outcome is anything but plain, reads the keys again, since a lost answer says
-/// nothing about what was done.
-///
-/// `away` is called when the state service turns out not to be there for this node.
-async fn carry_out(store: &StoreClient, commit: &Commit, away: impl Fn()) -> CommitResult {
-    match store.commit(&commit.transaction).await {
-        Ok(CommitOutcome::Applied(revision)) => return CommitResult::Applied(revision),
-        Err(StoreError::Unavailable) => {
-            away();
-            return CommitResult::NotDone;
-        }
-        Err(StoreError::TooMany) => return CommitResult::NotDone,
-        Err(StoreError::Rejected(why)) => {
-            tracing::error!("transaction of {} changes: {why}", commit.transaction.apply.len());
-            return CommitResult::Rejected;
-        }
-        Ok(CommitOutcome::Refused(keys)) => tracing::info!("transaction refused: {keys:?}"),
-        Err(e) => tracing::info!("transaction unclear: {e}"),
-    }
-    let mut learned = Vec::new();
-    for key in commit.keys() {
-        loop {
-            match store.get(&key).await {
-                Ok(value) => {
-                    learned.push((key, value));
-                    break;
-                }
-                Err(e) => {
-                    tracing::debug!("reading {key} again: {e}");
-                    if !matches!(e, StoreError::TooMany) {
-                        away();
-                    }
-                    pause(constants::LEADER_RETRY_MS).await;
-                }
-            }
-        }
-    }
-    CommitResult::Unsure(learned)
-}
--- a/crates/controller/tests/standby.rs
+++ b/crates/controller/tests/standby.rs
@@ -398,3 +398,27 @@
     play.ledger.deleted(&deleted, play.now);
     assert!(play.ledger.settled(play.now));
 }
+
+/// The rest of a gang may be on a machine that has not answered: no task of it starts elsewhere before that is settled.
+#[test]
+fn a_gang_is_not_completed_while_its_rest_may_be_on_a_silent_machine() {
+    let mut play = Play::start();
+    let mut workers = fleet(4);
+    settle(&mut play, &mut workers);
+    play.submit(job("req-000001", "group", 3));
+    play.wait(500);
+    for worker in &mut workers {
+        play.beat(worker);
+    }
+    let copy = copy_of(&mut play.ledger);
+    let holds = |w: &ScriptedWorker| !w.live().is_empty();
+    let silent = workers.iter().position(holds).expect("a task of the gang");
+    let silent = workers.remove(silent);
+    take_over(&mut play, &copy);
+    settle(&mut play, &mut workers);
+    let begun = attempts(&workers).len();
+    assert_eq!(begun, 2, "one machine is idle, and must stay so");
+    assert!(!play.ledger.settled(play.now));
+    settle(&mut play, &mut workers);
+    assert_eq!(attempts(&workers).len(), begun, "its third task runs on {}", silent.name());
+}
