--- a/crates/controller/tests/model.rs
+++ b/crates/controller/tests/model.rs
@@ -90,3 +90,13 @@
     assert!(all.warm_starts > 50 && all.completed_gangs > 5, "{all:?}");
     assert!(all.refused_answers > 50, "{all:?}");
 }
+
+/// Standbys whose questions reach the leader and whom its answers don't reach: they lag, suspect it and lead cold.
+#[test]
+fn no_rule_is_broken_where_links_between_controllers_are_cut_one_way() {
+    let days: Vec<Counts> =
+        seeds(12).map(|seed| day(seed, World::with_one_way_cuts(seed))).collect();
+    let all = days.iter().fold(Counts::default(), Counts::and);
+    println!("{all:?}");
+    assert!(all.one_way_cuts > 50 && all.warm_starts > 20, "{all:?}");
+}
--- a/crates/controller/tests/world/controllers.rs
+++ b/crates/controller/tests/world/controllers.rs
@@ -44,6 +44,8 @@
     pub version: Version,
     /// Its copy of the leader's picture.
     pub follower: Follower,
+    /// What it asks other controllers arrives, and their answers don't: its link is cut one way.
+    pub no_answers_until: u64,
     pub nonce: u64,
     /// When its process began.
     begun: u64,
@@ -95,6 +97,7 @@
             setup,
             version,
             follower: Follower::new(NODES[n].0),
+            no_answers_until: 0,
             nonce,
             begun: now,
             leader: None,
@@ -130,6 +133,7 @@
     /// All troubles end.
     pub fn calm(&mut self, now: u64) {
         (self.no_store_until, self.no_peers_until, self.no_workers_until) = (0, 0, 0);
+        self.no_answers_until = 0;
         self.frozen_until = self.frozen_until.min(now);
         self.outage_at = None;
     }
@@ -550,7 +554,8 @@
         let here = self.now - node.begun;
         // A connection ends with its process, and an answer in time is taken or none is.
         let in_time = here < sent + constants::PEER_TIMEOUT_MS;
-        if linked && node.nonce == nonce && in_time && node.leader.is_none() {
+        let heard = self.now >= node.no_answers_until;
+        if linked && heard && node.nonce == nonce && in_time && node.leader.is_none() {
             node.holding.leased(lease, sent, here);
         }
     }
--- a/crates/controller/tests/world/mod.rs
+++ b/crates/controller/tests/world/mod.rs
@@ -121,6 +121,7 @@
     pub warm_starts: usize,
     pub completed_gangs: usize,
     pub refused_answers: usize,
+    pub one_way_cuts: usize,
 }
 
 impl Counts {
@@ -146,6 +147,7 @@
             warm_starts: self.warm_starts + other.warm_starts,
             completed_gangs: self.completed_gangs + other.completed_gangs,
             refused_answers: self.refused_answers + other.refused_answers,
+            one_way_cuts: self.one_way_cuts + other.one_way_cuts,
         }
     }
 }
@@ -168,6 +170,8 @@
     scenario: Option<Scenario>,
     /// Most jobs are gangs, and leaders are struck while one is half placed.
     standby_day: bool,
+    /// Links between controllers are cut one way now and then.
+    one_way_cuts: bool,
     pub jobs: Vec<JobSpec>,
     told: BTreeMap<JobId, Told>,
     done: BTreeSet<String>,
@@ -203,6 +207,7 @@
             sent: 0,
             scenario: None,
             standby_day: false,
+            one_way_cuts: false,
             unrest: if seed.is_multiple_of(2) { 20 } else { 4 },
             jobs: Vec::new(),
             told: BTreeMap::new(),
@@ -223,6 +228,11 @@
         world
     }
 
+    /// The same, with links between controllers that are cut one way.
+    pub fn with_one_way_cuts(seed: u64) -> Self {
+        Self { one_way_cuts: true, ..Self::with_standbys(seed) }
+    }
+
     /// A day on which one meeting is brought about, and nothing else strikes whole controllers or zones.
     pub fn with(meeting: Meeting, seed: u64) -> Self {
         let mut world = Self::new(seed);
@@ -347,6 +357,9 @@
         if self.standby_day {
             self.strike_amid_gangs();
         }
+        if self.one_way_cuts {
+            self.cut_one_way();
+        }
         if self.chance(3) {
             let zone = self.rng.random_range(0..ZONES.len());
             self.zone_cut_until[zone] = now + self.span(2_000, 70_000);
--- a/crates/controller/tests/world/standbys.rs
+++ b/crates/controller/tests/world/standbys.rs
@@ -5,6 +5,7 @@
 use hookway_constants as constants;
 use hookway_controller::networks::Networks;
 use hookway_replication::{FollowAnswer, FollowRequest, Publisher};
+use rand::RngExt;
 
 /// A leader's changes are compared with its whole picture this often, ms.
 const COMPARE_EVERY: u64 = 5_000;
@@ -49,13 +50,24 @@
         answer: FollowAnswer,
     ) {
         let now = self.now;
+        let linked = self.peers_linked(from, n);
         let node = &mut self.controllers[n];
         // A connection ends with its process.
-        if node.nonce != nonce || node.leader.is_some() || !self.peers_linked(from, n) {
+        let heard = linked && now >= node.no_answers_until && node.nonce == nonce;
+        if !heard || node.leader.is_some() {
             return;
         }
-        self.counts.refused_answers +=
-            usize::from(self.controllers[n].follower.take(answer, now).is_err());
+        let refused = node.follower.take(answer, now).is_err();
+        self.counts.refused_answers += usize::from(refused);
+    }
+
+    /// Now and then the answers of other controllers don't reach one of them, while its questions reach them.
+    pub(super) fn cut_one_way(&mut self) {
+        if self.chance(6) {
+            self.counts.one_way_cuts += 1;
+            let n = self.rng.random_range(0..self.controllers.len());
+            self.controllers[n].no_answers_until = self.now + self.span(1_000, 30_000);
+        }
     }
 
     /// How seldom a controller stands when nobody leads, in steps: one with a usable copy is quicker.
