--- a/crates/controller/src/ledger/replicate.rs
+++ b/crates/controller/src/ledger/replicate.rs
@@ -156,6 +156,7 @@
     pub(super) fn completable_gangs(&self) -> HashSet<u64> {
         let resumed = |job: &Job| {
             job.resumed_attempt.is_some()
+                && !job.free.is_empty()
                 && job.attempt == job.resumed_attempt
                 && job.strays.is_empty()
                 && !job.broken
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! None but the fleet, and a state service that is told to let leases run out, reads a clock.
 
 mod fleet;
+mod serve;
 mod server;
 mod settings;
 mod store;
--- /dev/null
+++ b/crates/testkit/src/serve.rs
@@ -0,0 +1,15 @@
+//! Serving on loopback, for stand-ins.
+
+use salvo::conn::TcpListener;
+use salvo::prelude::*;
+
+/// Serves on a free port until the test ends; the address.
+pub(crate) async fn serve(router: Router) -> std::io::Result<String> {
+    let acceptor = TcpListener::new("127.0.0.1:0")
+        .try_bind()
+        .await
+        .map_err(|e| std::io::Error::other(e.to_string()))?;
+    let address = acceptor.local_addr()?.to_string();
+    tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+    Ok(address)
+}
