Log who leads on which start watermarks, what was read, and why a start was allowed

Cause: a task was started on two machines, and the logs could not tell whether the new leader knew how far its predecessors had started tasks, nor on which ground it started an inherited job. Change: `elected leader` says whether the answer to the election arrived and what the store says of earlier watermarks; `records read`, `start watermarks loaded` and `first start of an inherited job` say the rest, once a term or job; a task found above the watermarks of earlier leaders is an error. The ground of a start is a type that both the count of startable tasks and their placement use; the transaction of an election has a module of its own. No decision changes.

--- a/crates/controller/src/actor/store_io.rs
+++ b/crates/controller/src/actor/store_io.rs
@@ -4,6 +4,7 @@
 use super::messages::{ClusterEvent, ControllerEvent};
 use super::term::ActiveTerm;
 use crate::cluster_state::{CommitResult, LoadedState, PendingCommit, RereadKey};
+use crate::leadership::StoredWatermarks;
 use crate::records::{
     CLASSES_KEY, JOBS_PREFIX, LEGACY_IMAGES_PREFIX, PROGRESS_PREFIX, REGISTRY_PREFIX,
     SCHEDULING_PREFIX,
@@ -19,11 +20,12 @@
     /// Reads the records that a new leader needs, and retries until this succeeds.
     pub(super) fn spawn_state_load(&self, active: &mut ActiveTerm) {
         let (store, events) = (self.config.store.clone(), active.tasks.events.clone());
-        let has_start_watermarks = active.leader_term.has_start_watermarks;
+        let (term, stored_watermarks) = (active.term(), active.leader_term.stored_watermarks);
         active.tasks.spawn(async move {
             loop {
-                match load_state(&store, has_start_watermarks).await {
+                match load_state(&store, stored_watermarks).await {
                     Ok(StateRead { state, revision }) => {
+                        log_read(term, revision, &state);
                         let loaded = ControllerEvent::StateLoaded { state, revision };
                         let _ = events.send(loaded).await;
                         return;
@@ -59,7 +61,7 @@
 /// Reads all records that a new leader needs.
 async fn load_state(
     store: &StoreClient,
-    has_start_watermarks: bool,
+    stored_watermarks: StoredWatermarks,
 ) -> Result<StateRead, StoreError> {
     let jobs = store.list(JOBS_PREFIX).await?;
     let state = LoadedState {
@@ -69,11 +71,23 @@
         registry: store.list(REGISTRY_PREFIX).await?.pairs,
         images: store.list(LEGACY_IMAGES_PREFIX).await?.pairs,
         classes: store.get(CLASSES_KEY).await?,
-        has_start_watermarks,
+        stored_watermarks,
     };
     Ok(StateRead { state, revision: jobs.revision })
 }
 
+fn log_read(term: u64, revision: u64, state: &LoadedState) {
+    tracing::info!(
+        term,
+        revision,
+        jobs = state.jobs.len(),
+        progress = state.progress.len(),
+        watermarks = state.scheduling.len(),
+        registry = state.registry.len(),
+        "records read"
+    );
+}
+
 async fn watch_jobs(
     store: StoreClient,
     events: mpsc::Sender<ControllerEvent>,
--- a/crates/controller/src/cluster_state/job.rs
+++ b/crates/controller/src/cluster_state/job.rs
@@ -8,6 +8,7 @@
 use super::run_times::RunTimes;
 use super::service_level_objectives::ServiceLevelObjectives;
 use super::start_watermark::StartWatermark;
+use super::startable_tasks::StartGround;
 use crate::records::JobRecord;
 use hookway_constants as constants;
 use hookway_policy::Resources;
@@ -121,6 +122,8 @@
     pub stored_min_tasks: Option<u32>,
     /// How far its tasks may have been started.
     pub start_watermark: StartWatermark,
+    /// Why its first start in this term was allowed is in the log.
+    pub start_ground_logged: bool,
 }
 
 impl Job {
@@ -164,6 +167,7 @@
             min_tasks: 0,
             stored_min_tasks: None,
             start_watermark: StartWatermark::new(record.has_start_watermark),
+            start_ground_logged: false,
             spec,
         }
     }
@@ -249,6 +253,17 @@
         self.notes.push_back(text);
     }
 
+    /// Logs why tasks of an inherited job may be started, before the first of them is placed.
+    pub fn log_first_start(&mut self, ground: StartGround) {
+        if self.origin == JobOrigin::ThisTerm
+            || std::mem::replace(&mut self.start_ground_logged, true)
+        {
+            return;
+        }
+        let from = self.first_startable(ground);
+        tracing::info!(job = %self.id, ?ground, from, "first start of an inherited job");
+    }
+
     /// Whether its tasks may be started at all.
     pub fn is_active(&self) -> bool {
         self.completion.is_active()
--- a/crates/controller/src/cluster_state/placement.rs
+++ b/crates/controller/src/cluster_state/placement.rs
@@ -1,6 +1,6 @@
 //! Placing tasks on machines, stopping them, and preempting them for other jobs.
 
-use super::{ClusterState, JobKey, JobOrigin, PlacedTask, StopOrder, TaskPhase, TaskPlacement};
+use super::{ClusterState, JobKey, PlacedTask, StopOrder, TaskPhase, TaskPlacement};
 use hookway_constants as constants;
 use hookway_time::MonotonicTime;
 
@@ -10,11 +10,9 @@
         let reconciled = self.reconciled(now);
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let gang = job.spec.is_gang();
-        let first = if reconciled || job.origin == JobOrigin::ThisTerm {
-            0
-        } else {
-            job.start_watermark.never_started_from()
-        };
+        let ground = job.start_ground(reconciled);
+        let first = job.first_startable(ground);
+        job.log_first_start(ground);
         for name in machines {
             let Some(index) = job.unplaced.range(first..).next().copied() else { break };
             job.unplaced.remove(&index);
--- a/crates/controller/src/cluster_state/recovery.rs
+++ b/crates/controller/src/cluster_state/recovery.rs
@@ -3,6 +3,7 @@
 use super::machine::FirstListing;
 use super::machine_registry::MachineRegistry;
 use super::{CachedImage, ClassHistory, ClusterState, JobOrigin, Machine, Timestamp};
+use crate::leadership::StoredWatermarks;
 use crate::records::{
     ClassRecord, ImagesRecord, JobSchedulingRecord, MachineRegistryRecord, ProgressRecord,
     SharedStartWatermarksRecord,
@@ -17,7 +18,7 @@
 const REGISTRATION_AGE_MARGIN: Duration = Duration::from_secs(1);
 
 /// What a new leader read from the state service.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct LoadedState {
     /// Job records: `j/`.
     pub jobs: Vec<KeyValue>,
@@ -31,8 +32,23 @@
     pub images: Vec<KeyValue>,
     /// The record of the job classes.
     pub classes: Option<KeyValue>,
-    /// The leader before kept start watermarks.
-    pub has_start_watermarks: bool,
+    /// The start watermarks that the leaders before recorded.
+    pub stored_watermarks: StoredWatermarks,
+}
+
+impl LoadedState {
+    /// No records, with what the state service says of start watermarks.
+    pub fn empty(stored_watermarks: StoredWatermarks) -> Self {
+        Self {
+            jobs: Vec::new(),
+            progress: Vec::new(),
+            scheduling: Vec::new(),
+            registry: Vec::new(),
+            images: Vec::new(),
+            classes: None,
+            stored_watermarks,
+        }
+    }
 }
 
 /// The job that a record of the kind `<prefix>/<job>...` is about.
@@ -78,7 +94,7 @@
                 None => self.load_scheduling_record(kv, &accepted),
             }
         }
-        self.load_watermarks(loaded.has_start_watermarks, shared_watermarks_complete);
+        self.load_watermarks(loaded.stored_watermarks, shared_watermarks_complete);
         for kv in loaded.registry {
             self.load_registry_record(kv, at);
         }
@@ -170,11 +186,8 @@
 
     /// Sets from which task on each job was surely not started. Without a start watermark every task may have
     /// been, and the next leader must know it too.
-    fn load_watermarks(
-        &mut self,
-        last_leader_kept_watermarks: bool,
-        shared_watermarks_complete: bool,
-    ) {
+    fn load_watermarks(&mut self, stored: StoredWatermarks, shared_watermarks_complete: bool) {
+        let last_leader_kept_watermarks = stored == StoredWatermarks::Complete;
         for job in self.jobs.values_mut() {
             let complete =
                 last_leader_kept_watermarks && (shared_watermarks_complete || !job.is_small());
@@ -182,6 +195,11 @@
         }
         let unwritten = self.jobs.iter().filter(|(_, j)| !j.start_watermark.is_record_current());
         self.commit_queue.watermark_raises.extend(unwritten.map(|(key, _)| *key));
+        let assumed_started = self.commit_queue.watermark_raises.len();
+        tracing::info!(
+            term = self.term, watermarks = %stored, jobs = self.jobs.len(), assumed_started,
+            "start watermarks loaded"
+        );
     }
 
     fn load_registry_record(&mut self, kv: KeyValue, at: Timestamp) {
--- a/crates/controller/src/cluster_state/startable_tasks.rs
+++ b/crates/controller/src/cluster_state/startable_tasks.rs
@@ -1,9 +1,40 @@
-//! Which tasks of a job may be started.
+//! Which tasks of a job may be started, and why.
 
 use super::{ClusterState, Job, JobOrigin};
 use crate::settings::Team;
 use hookway_time::MonotonicTime;
 
+/// Why tasks of a job that has any to start may be started: no other attempt of them can be anywhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StartGround {
+    /// The job was accepted in this term: no earlier leader has started any of it.
+    AcceptedInThisTerm,
+    /// Every task that an earlier leader may have started is known.
+    Reconciled,
+    /// Some machines are not reconciled, but the tasks lie above the start watermark of the earlier
+    /// leaders.
+    AboveWatermark,
+}
+
+impl Job {
+    /// Why tasks of the job may be started, if all machines are reconciled or not.
+    pub(super) fn start_ground(&self, reconciled: bool) -> StartGround {
+        match self.origin {
+            JobOrigin::ThisTerm => StartGround::AcceptedInThisTerm,
+            JobOrigin::EarlierTerm if reconciled => StartGround::Reconciled,
+            JobOrigin::EarlierTerm => StartGround::AboveWatermark,
+        }
+    }
+
+    /// The lowest index of a task that may be started on this ground.
+    pub(super) fn first_startable(&self, ground: StartGround) -> u32 {
+        match ground {
+            StartGround::AcceptedInThisTerm | StartGround::Reconciled => 0,
+            StartGround::AboveWatermark => self.start_watermark.never_started_from(),
+        }
+    }
+}
+
 impl ClusterState {
     /// Number of tasks of a job that may be started at `now`.
     pub(super) fn startable_now(&self, job: &Job, now: MonotonicTime) -> u32 {
@@ -17,17 +48,17 @@
             return 0;
         }
         let startable = startable(job);
-        if reconciled || job.origin == JobOrigin::ThisTerm {
-            return startable;
-        }
         // Tasks from the start watermark on were never started, so they are on none of those machines.
         // But where a job's tasks must be together, or may not all be, the tasks that may be there
         // decide where others may start.
-        let never_started_from = job.start_watermark.never_started_from();
+        let first_startable = job.first_startable(job.start_ground(reconciled));
+        if first_startable == 0 {
+            return startable;
+        }
         if job.spec.is_gang() || job.bound_to_zones() {
-            return if never_started_from == 0 { startable } else { 0 };
+            return 0;
         }
-        startable.min(job.unplaced.range(never_started_from..).count() as u32)
+        startable.min(job.unplaced.range(first_startable..).count() as u32)
     }
 }
 
--- a/crates/controller/src/cluster_state/task_adoption.rs
+++ b/crates/controller/src/cluster_state/task_adoption.rs
@@ -1,6 +1,7 @@
 //! Adoption of tasks that a worker reports and that this leader did not place there.
 
 use super::{ClusterState, EndedTask, Job, JobKey, PlacedTask, TaskPhase, TaskPlacement};
+use hookway_constants as constants;
 use hookway_time::MonotonicTime;
 use hookway_wire::{ExitCause, TaskId, TaskState, TaskStatus};
 
@@ -52,8 +53,16 @@
         now: MonotonicTime,
     ) {
         let Some(machine) = self.machines.get_mut(name) else { return };
+        let earlier_term = reported.attempt >> constants::ATTEMPT_COUNTER_BITS < self.term;
         let mut orphaned = true;
         if let Some(job) = key.and_then(|key| self.jobs.get_mut(&key)) {
+            if earlier_term && index >= job.start_watermark.never_started_from() {
+                let attempt = reported.attempt;
+                tracing::error!(
+                    job = %job.id, machine = %name, index, attempt,
+                    "task above the start watermark of earlier leaders is on a machine"
+                );
+            }
             orphaned = !job.adopt_attempt(index, reported.attempt);
             self.stops_due |= orphaned;
             job.count_placed(self.config.platform.zone(&machine.zone));
--- /dev/null
+++ b/crates/controller/src/leadership/campaign.rs
@@ -0,0 +1,104 @@
+//! What a campaign for leadership reads from the state service, and the transaction that wins it.
+
+use crate::records::{LEADER_KEY, LEADER_TERM_KEY, LEADER_WATERMARKS_KEY, LeaderRecord};
+use hookway_constants as constants;
+use hookway_wire::{KeyValue, Operation, Precondition, Transaction};
+use std::fmt;
+
+/// What the state service says about the start watermarks that the leaders before a term kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoredWatermarks {
+    /// Every task that may have been started lies below a durable watermark.
+    Complete,
+    /// No leader has recorded watermarks yet.
+    Absent,
+    /// A leader without watermarks came after the last one that recorded them.
+    Outdated,
+    /// The response to the own election was lost, and with it what was known before.
+    Unknown,
+}
+
+impl StoredWatermarks {
+    /// What the marker of recorded watermarks says, read together with `lead/term`.
+    fn read(keys: &[KeyValue]) -> Self {
+        let value = |key: &str| keys.iter().find(|pair| pair.key == key).map(|pair| &pair.value);
+        match (value(LEADER_TERM_KEY), value(LEADER_WATERMARKS_KEY)) {
+            (term, marker) if term == marker => Self::Complete,
+            (_, None) => Self::Absent,
+            (_, Some(_)) => Self::Outdated,
+        }
+    }
+
+    /// What a leader knows whose election was applied although its response was lost. `keys` were
+    /// read after the election.
+    pub fn after_lost_response(_keys: &[KeyValue]) -> Self {
+        Self::Unknown
+    }
+}
+
+impl fmt::Display for StoredWatermarks {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Complete => "complete",
+            Self::Absent => "absent",
+            Self::Outdated => "outdated",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
+/// The state that a campaign starts from: nobody leads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Vacancy {
+    /// The highest fencing token of all terms so far.
+    last_token: u64,
+    /// The revision of `lead/term`; 0: the key does not exist.
+    term_revision: u64,
+    /// Whether the leaders so far recorded start watermarks.
+    pub stored_watermarks: StoredWatermarks,
+}
+
+impl Vacancy {
+    /// The vacancy that the keys below `lead/` describe.
+    pub fn read(keys: &[KeyValue]) -> Self {
+        let term = keys.iter().find(|pair| pair.key == LEADER_TERM_KEY);
+        Self {
+            last_token: term.and_then(|pair| pair.value.as_u64()).unwrap_or(0),
+            term_revision: term.map_or(0, |pair| pair.mod_revision),
+            stored_watermarks: StoredWatermarks::read(keys),
+        }
+    }
+
+    /// The term that follows.
+    pub fn next_term(&self) -> u64 {
+        self.last_token + 1
+    }
+
+    /// The transaction that wins the election: it writes the leader record and reserves the fencing
+    /// tokens of the term, which `lead/term` records up to the last one.
+    ///
+    /// # Errors
+    ///
+    /// The record can't be serialized.
+    pub fn election(
+        &self,
+        leader: &LeaderRecord,
+        lease_id: u64,
+    ) -> Result<Transaction, serde_json::Error> {
+        let last_token = serde_json::json!(self.last_token + constants::TOKENS_PER_TERM);
+        let preconditions = vec![
+            Precondition { key: LEADER_KEY.into(), mod_revision: 0 },
+            Precondition { key: LEADER_TERM_KEY.into(), mod_revision: self.term_revision },
+        ];
+        let operations = vec![
+            Operation::Put {
+                key: LEADER_KEY.into(),
+                value: serde_json::to_value(leader)?,
+                lease_id: Some(lease_id),
+            },
+            Operation::put(LEADER_TERM_KEY, last_token.clone()),
+            Operation::put(LEADER_WATERMARKS_KEY, last_token),
+        ];
+        Ok(Transaction { preconditions, operations })
+    }
+}
--- a/crates/controller/src/leadership/election.rs
+++ b/crates/controller/src/leadership/election.rs
@@ -1,15 +1,14 @@
 //! The actor that campaigns for leadership, extends the leadership lease and detects its loss.
 
+use super::campaign::{StoredWatermarks, Vacancy};
 use super::clock::Clock;
 use super::lease::{LeadershipLease, lease_expiry};
 use super::term::{LeaderTerm, LeadershipView};
-use crate::records::{
-    LEADER_KEY, LEADER_PREFIX, LEADER_TERM_KEY, LEADER_WATERMARKS_KEY, LeaderRecord,
-};
+use crate::records::{LEADER_KEY, LEADER_PREFIX, LeaderRecord};
 use hookway_clients::{CommitOutcome, Listing, StoreClient, StoreError};
 use hookway_constants as constants;
 use hookway_time::{MonotonicTime, whole_millis};
-use hookway_wire::{Operation, Precondition, Transaction, WatchEvent};
+use hookway_wire::{Precondition, WatchEvent};
 use rand::RngExt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -63,16 +62,8 @@
     lease_id: Option<u64>,
     /// The revision of the reading, which later changes come after.
     read_at_revision: u64,
-}
-
-/// The state that a campaign starts from.
-struct Vacancy {
-    /// The highest fencing token of all terms so far.
-    last_token: u64,
-    /// The revision of `lead/term`; 0: the key does not exist.
-    term_revision: u64,
-    /// Whether the last leader recorded start watermarks.
-    has_start_watermarks: bool,
+    /// The start watermarks before its term, if it is this process.
+    stored_watermarks: StoredWatermarks,
 }
 
 /// Why a term ended.
@@ -117,10 +108,9 @@
         {
             if record.nonce == self.nonce {
                 // The transaction of this process, whose response was lost. When the lease was
-                // granted is unknown, so it counts as expired until the first extension; whether
-                // the last leader recorded start watermarks is unknown too, so all tasks count as
-                // started.
-                let term = new_term(&record, leader.mod_revision, lease_id, false);
+                // granted is unknown, so it counts as expired until the first extension.
+                let watermarks = leader.stored_watermarks;
+                let term = new_term(&record, leader.mod_revision, lease_id, watermarks);
                 self.lead(term, None).await;
                 self.nonce = rand::rng().random();
             } else {
@@ -169,8 +159,7 @@
     async fn read_leader(&self) -> Result<LeaderState, StoreError> {
         let store = &self.config.store;
         let Listing { pairs, revision } = store.list(LEADER_PREFIX).await?;
-        let find = |key: &str| pairs.iter().find(|pair| pair.key == key);
-        if let Some(pair) = find(LEADER_KEY)
+        if let Some(pair) = pairs.iter().find(|pair| pair.key == LEADER_KEY)
             && let Ok(record) = serde_json::from_value::<LeaderRecord>(pair.value.clone())
         {
             let mut pair = pair.clone();
@@ -186,15 +175,10 @@
                 mod_revision: pair.mod_revision,
                 lease_id: pair.lease_id,
                 read_at_revision: revision,
+                stored_watermarks: StoredWatermarks::after_lost_response(&pairs),
             }));
         }
-        let (term, watermarks) = (find(LEADER_TERM_KEY), find(LEADER_WATERMARKS_KEY));
-        Ok(LeaderState::Vacant(Vacancy {
-            last_token: term.and_then(|pair| pair.value.as_u64()).unwrap_or(0),
-            term_revision: term.map_or(0, |pair| pair.mod_revision),
-            has_start_watermarks: term.map(|pair| &pair.value)
-                == watermarks.map(|pair| &pair.value),
-        }))
+        Ok(LeaderState::Vacant(Vacancy::read(&pairs)))
     }
 
     /// Watches the leader key from `revision` on, until it changes, the watch fails, or the leader
@@ -239,14 +223,14 @@
         };
         let record = LeaderRecord {
             controller_name: self.config.controller_name.clone(),
-            term: vacancy.last_token + 1,
+            term: vacancy.next_term(),
             nonce: self.nonce,
         };
-        let Ok(value) = serde_json::to_value(&record) else { return };
-        match store.commit(&election_transaction(vacancy, value, lease_id)).await {
+        let Ok(election) = vacancy.election(&record, lease_id) else { return };
+        match store.commit(&election).await {
             Ok(CommitOutcome::Applied(revision)) => {
                 let expires_at = lease_expiry(sent_at, self.config.lease_length);
-                let term = new_term(&record, revision, lease_id, vacancy.has_start_watermarks);
+                let term = new_term(&record, revision, lease_id, vacancy.stored_watermarks);
                 self.lead(term, Some(expires_at)).await;
             }
             Ok(CommitOutcome::PreconditionFailed(_)) => {
@@ -263,8 +247,9 @@
     /// Leads `term` until its lease is lost. `expires_at`: the expiry of its lease;
     /// `None`: unknown, so the lease is extended at once.
     async fn lead(&self, leader_term: LeaderTerm, expires_at: Option<MonotonicTime>) {
-        let LeaderTerm { term, lease_id, .. } = leader_term;
-        tracing::info!(term, "elected leader");
+        let LeaderTerm { term, lease_id, stored_watermarks, .. } = leader_term;
+        let response = if expires_at.is_some() { "received" } else { "lost" };
+        tracing::info!(term, response, watermarks = %stored_watermarks, "elected leader");
         self.config.lease.set(term, expires_at.unwrap_or(MonotonicTime::ZERO));
         self.publish(LeadershipView {
             leader: Some(self.config.controller_name.clone()),
@@ -312,37 +297,12 @@
     record: &LeaderRecord,
     mod_revision: u64,
     lease_id: u64,
-    has_start_watermarks: bool,
+    stored_watermarks: StoredWatermarks,
 ) -> LeaderTerm {
     LeaderTerm {
         term: record.term,
         precondition: Precondition { key: LEADER_KEY.into(), mod_revision },
         lease_id,
-        has_start_watermarks,
-    }
-}
-
-/// The transaction that wins an election: it writes the leader record and reserves the fencing
-/// tokens of the term, which `lead/term` records up to the last one.
-fn election_transaction(
-    vacancy: &Vacancy,
-    leader_record: serde_json::Value,
-    lease_id: u64,
-) -> Transaction {
-    let last_token = serde_json::json!(vacancy.last_token + constants::TOKENS_PER_TERM);
-    Transaction {
-        preconditions: vec![
-            Precondition { key: LEADER_KEY.into(), mod_revision: 0 },
-            Precondition { key: LEADER_TERM_KEY.into(), mod_revision: vacancy.term_revision },
-        ],
-        operations: vec![
-            Operation::Put {
-                key: LEADER_KEY.into(),
-                value: leader_record,
-                lease_id: Some(lease_id),
-            },
-            Operation::put(LEADER_TERM_KEY, last_token.clone()),
-            Operation::put(LEADER_WATERMARKS_KEY, last_token),
-        ],
+        stored_watermarks,
     }
 }
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -9,11 +9,13 @@
 //! heartbeat and makes no decision until an extension succeeds. After an outage of the state
 //! service leases have their full length again, so the leader can often continue its term.
 
+mod campaign;
 mod clock;
 mod election;
 mod lease;
 mod term;
 
+pub use campaign::{StoredWatermarks, Vacancy};
 pub use clock::{Clock, wall_clock};
 pub use election::{Leadership, LeadershipConfig};
 pub use lease::{LeadershipLease, lease_expiry};
--- a/crates/controller/src/leadership/term.rs
+++ b/crates/controller/src/leadership/term.rs
@@ -1,5 +1,6 @@
 //! A term of leadership, and what a controller knows about the current leader.
 
+use super::campaign::StoredWatermarks;
 use hookway_wire::Precondition;
 
 /// A term that this controller won.
@@ -11,8 +12,8 @@
     pub precondition: Precondition,
     /// The id of the lease that the leader key is attached to.
     pub lease_id: u64,
-    /// Whether the leader of the previous term recorded start watermarks of jobs.
-    pub has_start_watermarks: bool,
+    /// The start watermarks of jobs that the leaders before recorded.
+    pub stored_watermarks: StoredWatermarks,
 }
 
 /// What this controller knows about the current leader.
--- a/crates/controller/tests/cluster_state/commit_queue.rs
+++ b/crates/controller/tests/cluster_state/commit_queue.rs
@@ -6,6 +6,7 @@
 use hookway_controller::cluster_state::{
     CancelOutcome, ClusterState, CommitResult, JobLookup, LoadedState,
 };
+use hookway_controller::leadership::StoredWatermarks;
 use hookway_controller::records::{LEADER_KEY, final_state_key, job_key};
 use hookway_testkit::{ScriptedWorker, machine_types};
 use hookway_wire::{Command, ExitCause, JobId, JobState, Operation, Precondition, Transaction};
@@ -113,7 +114,7 @@
         1,
         precondition,
         machine_types(),
-        LoadedState::default(),
+        LoadedState::empty(StoredWatermarks::Absent),
         elected_at,
     );
     // Several times the load of a job wave: thousands of machines, and jobs that all finish at once.
--- a/crates/controller/tests/cluster_state/start_watermarks.rs
+++ b/crates/controller/tests/cluster_state/start_watermarks.rs
@@ -2,6 +2,7 @@
 
 use crate::harness::{LeaderHarness, at, job, small_worker, test_config, timestamp};
 use hookway_controller::cluster_state::{ClusterState, LoadedState};
+use hookway_controller::leadership::StoredWatermarks;
 use hookway_controller::records::LEADER_KEY;
 use hookway_testkit::{MemoryStore, machine_types};
 use hookway_time::MonotonicTime;
@@ -48,19 +49,18 @@
     harness.submit(job("req-000001", "array", 300));
     harness.run_rounds(&mut [&mut partitioned]);
     // A leader of version 0.1.0 may have started any of the tasks without a watermark.
-    let loaded = |store: &MemoryStore, has_start_watermarks| LoadedState {
+    let loaded = |store: &MemoryStore, stored_watermarks| LoadedState {
         jobs: store.list("j/"),
         scheduling: store.list("m/"),
         registry: store.list("r/"),
-        has_start_watermarks,
-        ..LoadedState::default()
+        ..LoadedState::empty(stored_watermarks)
     };
     let mut store = harness.store.clone();
     let lead =
-        |store: &mut MemoryStore, term: u64, has_start_watermarks: bool, now: MonotonicTime| {
+        |store: &mut MemoryStore, term: u64, stored: StoredWatermarks, now: MonotonicTime| {
             let mod_revision = store.put(LEADER_KEY, serde_json::json!({ "term": term }));
             let precondition = Precondition { key: LEADER_KEY.into(), mod_revision };
-            let loaded = loaded(store, has_start_watermarks);
+            let loaded = loaded(store, stored);
             let elected_at = timestamp(now);
             let cluster = ClusterState::new(
                 test_config(),
@@ -72,13 +72,13 @@
             );
             LeaderHarness { cluster, store: store.clone(), now }
         };
-    let mut next = lead(&mut store, 2, false, at(30_000));
+    let mut next = lead(&mut store, 2, StoredWatermarks::Absent, at(30_000));
     let mut idle = small_worker("m-3", "a");
     next.run_rounds(&mut [&mut idle]);
     assert_eq!(idle.started_attempts, [], "without watermarks any task may run on m-2");
     // The leader after that one recovers this from the state service.
     let mut store = next.store.clone();
-    let mut third = lead(&mut store, 3, true, at(33_000));
+    let mut third = lead(&mut store, 3, StoredWatermarks::Complete, at(33_000));
     let mut idle = small_worker("m-4", "a");
     third.run_rounds(&mut [&mut idle]);
     assert_eq!(idle.started_attempts, []);
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -6,6 +6,7 @@
     ClusterState, CommitResult, ControllerConfig, JobLookup, JobOrigin, LoadedState, PendingCommit,
     RereadKey, ScalingAction, Timestamp,
 };
+use hookway_controller::leadership::StoredWatermarks;
 use hookway_controller::records::{JobRecord, LEADER_KEY, final_state_key, job_key};
 use hookway_controller::settings::{OperatorSettings, Settings};
 use hookway_testkit::{MemoryStore, SETTINGS, ScriptedWorker, machine_types};
@@ -83,7 +84,7 @@
             registry: store.list("r/"),
             images: store.list("i/"),
             classes: store.get("c/lanes"),
-            has_start_watermarks: true,
+            stored_watermarks: StoredWatermarks::Complete,
         };
         let precondition = Precondition { key: LEADER_KEY.into(), mod_revision };
         let elected_at = timestamp(now);
--- a/crates/controller/tests/simulation/controllers.rs
+++ b/crates/controller/tests/simulation/controllers.rs
@@ -6,7 +6,7 @@
 use hookway_controller::cluster_state::{
     ClusterState, ControllerConfig, JobOrigin, LoadedState, Timestamp,
 };
-use hookway_controller::leadership::lease_expiry;
+use hookway_controller::leadership::{StoredWatermarks, lease_expiry};
 use hookway_controller::records::LEADER_KEY;
 use hookway_controller::settings::{OperatorSettings, PeerController, Settings};
 use hookway_controller::shard_lease::ShardLessee;
@@ -280,7 +280,7 @@
             registry: self.store.list("r/"),
             images: vec![],
             classes: self.store.get("c/lanes"),
-            has_start_watermarks: true,
+            stored_watermarks: StoredWatermarks::Complete,
         };
         let precondition = Precondition { key: LEADER_KEY.into(), mod_revision };
         let elected_at = self.moment();
