Simulation: a replacement may complete a waiting gang on a machine whose worker has begun again

Cause: the check that a worker never starts an attempt twice also failed where a worker had lost its tasks with its lease, and the new leader completed the gang that waited for them on the same machine, under the same attempt, as the protocol allows. Change: in one incarnation the check is as before. In a later one the start must complete a gang of which other machines have tasks of the same attempt, none of which has run.

--- a/crates/controller/tests/simulation/dispatch.rs
+++ b/crates/controller/tests/simulation/dispatch.rs
@@ -96,4 +96,22 @@
             self.at(now + delay, Message::PendingCommit(n, term, Box::new(commit)));
         }
     }
+
+    /// A state probe reaches a machine.
+    pub(super) fn probe_arrives(&mut self, n: usize, term: u64, m: usize) {
+        let now = self.now;
+        let linked = self.worker_linked(n, m);
+        let machine = &self.machines[m];
+        if !linked || now < machine.inbound_lost_until || machine.dead || now < machine.hung_until {
+            return;
+        }
+        self.expire(m);
+        let machine = &mut self.machines[m];
+        // The probe is repeated under the incarnation that its refusal names.
+        let incarnation = machine.worker.incarnation();
+        let probe = DirectCommands { fencing_token: term, incarnation, commands: vec![] };
+        let heartbeat = machine.worker.handle_direct_commands(&probe);
+        let name = machine.name.clone();
+        self.send(|| Message::ProbeResult(n, term, name.clone(), heartbeat.clone()));
+    }
 }
--- a/crates/controller/tests/simulation/gangs.rs
+++ b/crates/controller/tests/simulation/gangs.rs
@@ -130,4 +130,31 @@
             }
         }
     }
+
+    /// A worker never starts an attempt again that it has started, other than in a later incarnation to complete
+    /// a gang that waits for it (protocol, "Gangs"). `before`: number of starts before this message.
+    pub(super) fn check_attempt_is_new(&self, m: usize, before: usize, task: &str, attempt: u64) {
+        let machine = &self.machines[m];
+        let same = |(t, a): &(String, u64)| t == task && *a == attempt;
+        let Some(earlier) = machine.worker.started_attempts[..before].iter().rposition(same) else {
+            return;
+        };
+        let replaces = earlier < machine.incarnation_from && self.gang_waits_for(m, task, attempt);
+        assert!(replaces, "{task} attempt {attempt} is started twice on m-{}", m + 1);
+    }
+
+    /// Whether other machines have tasks of the same attempt of a gang, and none of them has run.
+    fn gang_waits_for(&self, m: usize, task: &str, attempt: u64) -> bool {
+        let (id, _) = task.split_once('/').expect("a task name");
+        if !self.jobs.iter().any(|spec| spec.is_gang() && spec.id.as_str() == id) {
+            return false;
+        }
+        let others = self.machines.iter().enumerate().filter(|(n, other)| *n != m && !other.dead);
+        let tasks = others.flat_map(|(_, other)| other.worker.tasks());
+        let mut of_attempt = tasks.filter(|status| status.attempt == attempt).peekable();
+        of_attempt.peek().is_some()
+            && of_attempt.all(|status| {
+                matches!(status.state, TaskState::FetchingImage | TaskState::WaitingForGang)
+            })
+    }
 }
--- a/crates/controller/tests/simulation/machines.rs
+++ b/crates/controller/tests/simulation/machines.rs
@@ -31,13 +31,15 @@
     pub partitioned_until: MonotonicTime,
     /// Partitioned from that controller alone, until then.
     pub partitioned_from: Option<(usize, MonotonicTime)>,
-    inbound_lost_until: MonotonicTime,
+    pub inbound_lost_until: MonotonicTime,
     /// One-way partition: nothing that it sends arrives, while direct commands reach it.
     outbound_lost_until: MonotonicTime,
     /// The machine hangs until then.
-    hung_until: MonotonicTime,
+    pub hung_until: MonotonicTime,
     pub dead: bool,
     pub since: BTreeMap<String, MonotonicTime>,
+    /// Number of starts before the current incarnation of its worker.
+    pub incarnation_from: usize,
 }
 
 impl Machine {
@@ -62,6 +64,7 @@
             hung_until: MonotonicTime::ZERO,
             dead: false,
             since: BTreeMap::new(),
+            incarnation_from: 0,
         }
     }
 }
@@ -72,11 +75,12 @@
     }
 
     /// A worker whose lease expired discards all tasks before it does anything else.
-    fn expire(&mut self, m: usize) {
+    pub(super) fn expire(&mut self, m: usize) {
         let (now, lease) = (self.now, self.worker_lease());
         let machine = &mut self.machines[m];
         if now > machine.lease_from + lease {
             machine.worker.expire_lease();
+            machine.incarnation_from = machine.worker.started_attempts.len();
             machine.lease_from = now;
             machine.in_flight = None;
             machine.since.clear();
@@ -158,31 +162,12 @@
         }
     }
 
-    pub(super) fn probe_arrives(&mut self, n: usize, term: u64, m: usize) {
-        let now = self.now;
-        let linked = self.worker_linked(n, m);
-        let machine = &self.machines[m];
-        if !linked || now < machine.inbound_lost_until || machine.dead || now < machine.hung_until {
-            return;
-        }
-        self.expire(m);
-        let machine = &mut self.machines[m];
-        // The probe is repeated under the incarnation that its refusal names.
-        let incarnation = machine.worker.incarnation();
-        let probe = DirectCommands { fencing_token: term, incarnation, commands: vec![] };
-        let heartbeat = machine.worker.handle_direct_commands(&probe);
-        let name = machine.name.clone();
-        self.send(|| Message::ProbeResult(n, term, name.clone(), heartbeat.clone()));
-    }
-
     /// Checks the invariants at each start.
     fn check_starts(&mut self, m: usize, before: usize) {
         let started = self.machines[m].worker.started_attempts[before..].to_vec();
         for (task, attempt) in started {
             self.counts.starts += 1;
-            let earlier = &self.machines[m].worker.started_attempts[..before];
-            let repeated = earlier.iter().any(|(t, a)| *t == task && *a == attempt);
-            assert!(!repeated, "{task} attempt {attempt} is started twice on m-{}", m + 1);
+            self.check_attempt_is_new(m, before, &task, attempt);
             for (other, machine) in self.machines.iter().enumerate() {
                 let duplicate = other != m
                     && !machine.dead
