Start watermarks: what is assumed allows no start, and completeness is claimed only once it holds

Cause: a leader that did not know the watermarks of its predecessors assumed that all inherited tasks were started, in the field that also said what is durable; so it started tasks without a record. Its election had claimed already that watermarks are recorded, and the next leader believed that. Change: the durable watermark and the assumption are two fields, and only the first allows a start. `lead/watermarks` says that all watermarks are complete: written by an election only if that held before, otherwise after every assumed watermark is durable. A candidate that lost the response to its election reads there whether they were. Production reads `lead/marked`, which goes into the first transaction once it holds; this version does not read it, since production writes it too early.

--- a/crates/controller/src/cluster_state/commit_items.rs
+++ b/crates/controller/src/cluster_state/commit_items.rs
@@ -3,6 +3,7 @@
 use super::commit_queue::{CommitItem, JobPage, PendingCommit, RegistryMember};
 use super::machine_registry::MachineRegistry;
 use super::{ClusterState, JobKey, Machine};
+use crate::leadership::last_token;
 use crate::records::{
     CLASSES_KEY, ClassRecord, FinalRecord, JobSchedulingRecord, ProgressRecord,
     SharedStartWatermarksRecord, final_state_key, fits_value_limit, job_key, scheduling_key,
@@ -148,6 +149,19 @@
         commit.items.push(CommitItem::SharedWatermarks { number, jobs: waiting });
     }
 
+    /// The marker of complete start watermarks, once they are.
+    pub(super) fn add_watermark_marker(&mut self, commit: &mut PendingCommit) {
+        let keys = self.commit_queue.watermark_marker.due_keys();
+        if keys.is_empty() || !commit.has_room_for(keys.len()) {
+            return;
+        }
+        for key in keys {
+            commit.put((*key).to_owned(), last_token(self.term).into());
+        }
+        commit.items.push(CommitItem::WatermarkMarker);
+        self.commit_queue.watermark_marker.sent();
+    }
+
     /// Deletions of keys that nothing refers to any more.
     pub(super) fn add_stale_keys(&mut self, commit: &mut PendingCommit) {
         while commit.has_room_for(1)
--- a/crates/controller/src/cluster_state/commit_outcome.rs
+++ b/crates/controller/src/cluster_state/commit_outcome.rs
@@ -1,11 +1,12 @@
 //! What the outcome of a transaction means for each of its records.
 
 use super::commit_queue::{CommitItem, JobPage, RegistryMember, is_leader_record};
-use super::{ClusterState, JobKey};
+use super::{ClusterState, Job, JobKey};
 use crate::records::{
     FinalRecord, JobSchedulingRecord, ProgressRecord, parse_progress_key, scheduling_key,
     shared_watermarks_key,
 };
+use hookway_time::seconds_f64;
 use hookway_wire::{JobId, KeyValue};
 
 impl ClusterState {
@@ -28,7 +29,7 @@
             CommitItem::SharedWatermarks { number, jobs } => {
                 self.shared_watermarks_stored(number, &jobs);
             }
-            CommitItem::StaleKey(_) | CommitItem::Classes => {}
+            CommitItem::StaleKey(_) | CommitItem::Classes | CommitItem::WatermarkMarker => {}
         }
     }
 
@@ -55,6 +56,20 @@
             let name = scheduling_key(&job.id);
             self.commit_queue.stale_keys.push_back(name);
         }
+        self.resolve_assumed_watermark(key);
+    }
+
+    /// Takes a job whose watermark is durable, or that has ended, off those whose watermarks are assumed.
+    pub(super) fn resolve_assumed_watermark(&mut self, key: JobKey) {
+        let is_assumed = |job: &Job| !job.completion.is_final() && job.start_watermark.is_assumed();
+        if self.jobs.get(&key).is_some_and(is_assumed) {
+            return;
+        }
+        if self.commit_queue.watermark_marker.resolve(key) {
+            let now = self.clocks.latest.monotonic;
+            let after_s = seconds_f64(now.saturating_duration_since(self.clocks.elected_at()));
+            tracing::info!(term = self.term, after_s, "assumed start watermarks durable");
+        }
     }
 
     fn shared_watermarks_stored(&mut self, number: u64, keys: &[JobKey]) {
@@ -62,6 +77,7 @@
             if let Some(job) = self.jobs.get_mut(key) {
                 job.start_watermark.record_durable(job.spec.tasks);
             }
+            self.resolve_assumed_watermark(*key);
         }
         // All of its jobs ended while it was in flight.
         if self.commit_queue.shared_watermarks.jobs(number).is_none() {
@@ -87,6 +103,7 @@
             }
             CommitItem::StaleKey(key) => self.commit_queue.stale_keys.push_back(key),
             CommitItem::Classes => self.commit_queue.classes_changed = true,
+            CommitItem::WatermarkMarker => self.commit_queue.watermark_marker.requeue(),
             CommitItem::SharedWatermarks { jobs, .. } => {
                 self.commit_queue.watermark_raises.extend(jobs);
             }
--- a/crates/controller/src/cluster_state/commit_queue.rs
+++ b/crates/controller/src/cluster_state/commit_queue.rs
@@ -4,6 +4,7 @@
 use super::machine_registry::MachineRegistry;
 use super::shared_watermarks::SharedStartWatermarks;
 use super::token_bucket::TokenBucket;
+use super::watermark_marker::WatermarkMarker;
 use crate::records::{
     CLASSES_KEY, FinalRecord, JobSchedulingRecord, ProgressRecord, REGISTRY_PREFIX,
     SCHEDULING_PREFIX, registry_key,
@@ -31,6 +32,7 @@
     pub progress_pages: VecDeque<JobPage>,
     pub registry: MachineRegistry,
     pub shared_watermarks: SharedStartWatermarks,
+    pub watermark_marker: WatermarkMarker,
     /// Revisions of the records that only leaders write, by key; 0, or none, if there is no record.
     pub mod_revisions: HashMap<String, u64>,
     /// Registry entries of the older format, by machine: deleted once a record has the machine.
@@ -74,6 +76,7 @@
             progress_pages: VecDeque::new(),
             registry: MachineRegistry::new(state.value_kb),
             shared_watermarks: SharedStartWatermarks::new(state.value_kb),
+            watermark_marker: WatermarkMarker::new(),
             mod_revisions: HashMap::new(),
             legacy_registry_keys: HashMap::new(),
             stale_keys: VecDeque::new(),
@@ -99,6 +102,11 @@
         }
     }
 
+    /// Whether there is a record under a key that only leaders write, as far as this leader knows.
+    pub fn has_record(&self, key: &str) -> bool {
+        self.mod_revisions.contains_key(key)
+    }
+
     /// Queues the deletion of a key.
     pub fn delete_stale(&mut self, key: String) {
         self.stale_keys.push_back(key);
@@ -147,6 +155,8 @@
     SharedWatermarks { number: u64, jobs: Vec<JobKey> },
     /// The record of the job classes.
     Classes,
+    /// The marker of complete start watermarks.
+    WatermarkMarker,
 }
 
 /// An item that was rejected by itself.
--- a/crates/controller/src/cluster_state/commits.rs
+++ b/crates/controller/src/cluster_state/commits.rs
@@ -32,6 +32,7 @@
         self.add_finished_jobs(&mut commit);
         self.add_registry(&mut commit);
         self.add_watermark_raises(&mut commit);
+        self.add_watermark_marker(&mut commit);
         self.add_progress_pages(&mut commit);
         self.add_stale_keys(&mut commit);
         self.add_scheduling_records(&mut commit, now);
--- a/crates/controller/src/cluster_state/job_operations.rs
+++ b/crates/controller/src/cluster_state/job_operations.rs
@@ -127,14 +127,17 @@
                 self.commit_queue.delete_stale(crate::records::shared_watermarks_key(number));
             }
             Some(_) => {}
-            None if job.stored_min_tasks.is_some() || job.start_watermark.allows_any_start() => {
-                self.commit_queue.delete_stale(crate::records::scheduling_key(&job.id));
+            None => {
+                let scheduling_key = crate::records::scheduling_key(&job.id);
+                if self.commit_queue.has_record(&scheduling_key) {
+                    self.commit_queue.delete_stale(scheduling_key);
+                }
             }
-            None => {}
         }
         self.stops_due = true;
         let id = job.id.clone();
         self.jobs.mark_ended(&id);
+        self.resolve_assumed_watermark(key);
         self.completed_jobs.push(CompletedJob { id, record });
         self.forget_if_removed(key);
     }
--- a/crates/controller/src/cluster_state/mod.rs
+++ b/crates/controller/src/cluster_state/mod.rs
@@ -58,6 +58,7 @@
 mod task_end;
 mod task_removal;
 mod token_bucket;
+mod watermark_marker;
 
 pub use autoscaling::ScalingAction;
 pub use clocks::Timestamp;
--- a/crates/controller/src/cluster_state/recovery.rs
+++ b/crates/controller/src/cluster_state/recovery.rs
@@ -2,7 +2,7 @@
 
 use super::machine::FirstListing;
 use super::machine_registry::MachineRegistry;
-use super::{CachedImage, ClassHistory, ClusterState, JobOrigin, Machine, Timestamp};
+use super::{CachedImage, ClassHistory, ClusterState, JobKey, JobOrigin, Machine, Timestamp};
 use crate::leadership::StoredWatermarks;
 use crate::records::{
     ClassRecord, ImagesRecord, JobSchedulingRecord, MachineRegistryRecord, ProgressRecord,
@@ -79,9 +79,11 @@
         leader_records.for_each(|kv| self.commit_queue.set_mod_revision(&kv.key, kv.mod_revision));
         self.load_classes(loaded.classes);
         let accepted = Accepted::new(&loaded.jobs);
+        let job_records = loaded.jobs.len();
         for kv in loaded.jobs {
             self.add_job(&kv.key, kv.value, at, JobOrigin::EarlierTerm);
         }
+        let all_jobs_readable = self.jobs.len() == job_records;
         for kv in loaded.progress {
             self.load_progress(kv, &accepted);
         }
@@ -95,6 +97,7 @@
             }
         }
         self.load_watermarks(loaded.stored_watermarks, shared_watermarks_complete);
+        self.await_assumed_watermarks(loaded.stored_watermarks, all_jobs_readable);
         for kv in loaded.registry {
             self.load_registry_record(kv, at);
         }
@@ -172,7 +175,7 @@
                 job.stored_min_tasks = Some(record.min_tasks);
                 job.run_times.count = record.run_time_count;
                 job.run_times.sum = Duration::from_millis(record.run_time_sum_ms);
-                job.start_watermark.load(record.start_watermark);
+                job.start_watermark.record_durable(record.start_watermark);
             }
             Err(error) => {
                 tracing::error!(
@@ -185,7 +188,7 @@
     }
 
     /// Sets from which task on each job was surely not started. Without a start watermark every task may have
-    /// been, and the next leader must know it too.
+    /// been.
     fn load_watermarks(&mut self, stored: StoredWatermarks, shared_watermarks_complete: bool) {
         let last_leader_kept_watermarks = stored == StoredWatermarks::Complete;
         for job in self.jobs.values_mut() {
@@ -193,13 +196,19 @@
                 last_leader_kept_watermarks && (shared_watermarks_complete || !job.is_small());
             job.start_watermark.finish_loading(job.spec.tasks, complete);
         }
-        let unwritten = self.jobs.iter().filter(|(_, j)| !j.start_watermark.is_record_current());
-        self.commit_queue.watermark_raises.extend(unwritten.map(|(key, _)| *key));
-        let assumed_started = self.commit_queue.watermark_raises.len();
+    }
+
+    /// Queues records of what is assumed, so that the next leader knows it too. Until they are durable nothing
+    /// that was assumed allows a start, nor does the state service say that its watermarks are complete.
+    fn await_assumed_watermarks(&mut self, stored: StoredWatermarks, all_jobs_readable: bool) {
+        let assumed = self.jobs.iter().filter(|(_, job)| job.start_watermark.is_assumed());
+        let assumed: BTreeSet<JobKey> = assumed.map(|(key, _)| *key).collect();
         tracing::info!(
-            term = self.term, watermarks = %stored, jobs = self.jobs.len(), assumed_started,
-            "start watermarks loaded"
+            term = self.term, watermarks = %stored, jobs = self.jobs.len(),
+            assumed_started = assumed.len(), "start watermarks loaded"
         );
+        self.commit_queue.watermark_raises.extend(&assumed);
+        self.commit_queue.watermark_marker.records_loaded(stored, assumed, all_jobs_readable);
     }
 
     fn load_registry_record(&mut self, kv: KeyValue, at: Timestamp) {
@@ -253,7 +262,7 @@
         let mut live = BTreeSet::new();
         for id in record.jobs {
             if let Some(job) = self.jobs.by_id_mut(&id) {
-                job.start_watermark.assume_all_started(job.spec.tasks);
+                job.start_watermark.record_durable(job.spec.tasks);
                 job.start_watermark.set_shared_record(number);
                 live.insert(id);
             }
--- a/crates/controller/src/cluster_state/start_watermark.rs
+++ b/crates/controller/src/cluster_state/start_watermark.rs
@@ -1,21 +1,23 @@
-//! The start watermark of a job: how far its tasks may have been started, as the state service says.
+//! The start watermark of a job: how far its tasks may have been started.
 //!
 //! A task is started only after the state service holds a watermark above its index. So the next
 //! leader knows which tasks no earlier leader has started, and need not wait for machines that have
 //! not sent a heartbeat yet before it starts those.
+//!
+//! What is assumed and what is durable are kept apart. Where the records of earlier leaders can't be
+//! relied on, all tasks are assumed to have been started; that forbids starts, and allows none until
+//! a record that says the same is durable.
 
 /// The start watermark of one job. All positions are task indexes.
 #[derive(Debug)]
 pub(super) struct StartWatermark {
     /// The job was accepted by a version that keeps start watermarks.
     accepted_with_watermark: bool,
-    /// Tasks below it may be started: the state service says so.
-    stored: u32,
-    /// What the state service is to say.
+    /// Tasks below it may be started: a record in the state service says so.
+    durable: u32,
+    /// What the record is to say.
     target: u32,
-    /// Whether a record with `stored` is durable; `false` only for jobs of leaders without watermarks.
-    record_current: bool,
-    /// Tasks from it on were not started by any earlier leader.
+    /// Tasks from it on were not started by any earlier leader. Above `durable` it is an assumption.
     never_started_from: u32,
     /// The record shared with other small jobs that says that this job may have been started.
     shared_record: Option<u64>,
@@ -27,17 +29,17 @@
     pub fn new(accepted_with_watermark: bool) -> Self {
         Self {
             accepted_with_watermark,
-            stored: 0,
+            durable: 0,
             target: 0,
-            record_current: true,
             never_started_from: 0,
             shared_record: None,
         }
     }
 
-    /// Whether a task may be started: the state service says so.
+    /// Whether a task may be started: a durable record says so. An assumption does not allow it, since
+    /// the next leader would not know of it.
     pub fn allows_start(&self, index: u32) -> bool {
-        index < self.stored
+        index < self.durable
     }
 
     /// Whether the state service says, or is to say, that a task may be started.
@@ -47,7 +49,7 @@
 
     /// What the state service is to say next.
     pub fn highest(&self) -> u32 {
-        self.stored.max(self.target)
+        self.durable.max(self.target)
     }
 
     /// Tasks below `target` are to be startable.
@@ -55,46 +57,35 @@
         self.target = target;
     }
 
-    /// Whether tasks wait for a record to be written.
+    /// Whether a record with a higher watermark is to be written.
     pub fn needs_record(&self) -> bool {
-        self.target > self.stored || !self.record_current
-    }
-
-    /// Whether the state service says what this leader knows.
-    pub fn is_record_current(&self) -> bool {
-        self.record_current
+        self.target > self.durable
     }
 
-    /// Whether some task may be started.
-    pub fn allows_any_start(&self) -> bool {
-        self.stored > 0
+    /// Whether tasks count as started that no durable record names.
+    pub fn is_assumed(&self) -> bool {
+        self.never_started_from > self.durable
     }
 
-    /// A record with this watermark is durable.
+    /// A record with this watermark is durable, of this leader or an earlier one.
     pub fn record_durable(&mut self, watermark: u32) {
-        self.load(watermark);
-        self.record_current = true;
-    }
-
-    /// A record of an earlier leader has this watermark.
-    pub fn load(&mut self, watermark: u32) {
-        self.stored = self.stored.max(watermark);
+        self.durable = self.durable.max(watermark);
     }
 
-    /// All of the job's `tasks` may have been started.
+    /// All of the job's `tasks` may have been started, although no record says so. One is to be
+    /// written, so that the next leader knows it too.
     pub fn assume_all_started(&mut self, tasks: u32) {
-        self.stored = tasks;
+        self.never_started_from = tasks;
+        self.target = tasks;
     }
 
     /// All records of earlier leaders are loaded. Where they can't be relied on (`complete` is false
-    /// or the job was accepted without a watermark), every one of the `tasks` may have been started,
-    /// and the next leader must know it too.
+    /// or the job was accepted without a watermark), every one of the `tasks` may have been started.
     pub fn finish_loading(&mut self, tasks: u32, complete: bool) {
         if !self.accepted_with_watermark || !complete {
-            self.stored = tasks;
-            self.record_current = false;
+            self.assume_all_started(tasks);
         }
-        self.never_started_from = self.stored;
+        self.never_started_from = self.never_started_from.max(self.durable);
     }
 
     /// Tasks from this index on were not started by any earlier leader.
--- a/crates/controller/src/cluster_state/start_watermark/tests.rs
+++ b/crates/controller/src/cluster_state/start_watermark/tests.rs
@@ -18,17 +18,24 @@
 }
 
 #[test]
-fn inherited_job_without_complete_watermarks_counts_as_started() {
+fn inherited_job_without_complete_watermarks_counts_as_started_once_durable() {
     for (accepted_with_watermark, complete) in [(true, false), (false, true), (false, false)] {
         let mut watermark = StartWatermark::new(accepted_with_watermark);
-        watermark.load(3);
+        watermark.record_durable(3);
         watermark.finish_loading(10, complete);
         assert_eq!(watermark.never_started_from(), 10);
-        assert!(watermark.needs_record() && !watermark.is_record_current());
+        assert!(watermark.needs_record() && watermark.is_assumed());
+        assert!(
+            watermark.allows_start(2) && !watermark.allows_start(3),
+            "an assumption allows no start"
+        );
+        watermark.record_durable(watermark.highest());
+        assert!(watermark.allows_start(9));
+        assert!(!watermark.needs_record() && !watermark.is_assumed());
     }
     let mut watermark = StartWatermark::new(true);
-    watermark.load(3);
+    watermark.record_durable(3);
     watermark.finish_loading(10, true);
     assert_eq!(watermark.never_started_from(), 3);
-    assert!(watermark.is_record_current() && !watermark.needs_record());
+    assert!(!watermark.is_assumed() && !watermark.needs_record());
 }
--- a/crates/controller/src/cluster_state/summary.rs
+++ b/crates/controller/src/cluster_state/summary.rs
@@ -8,6 +8,8 @@
 pub struct Summary {
     /// Unfinished jobs.
     pub jobs: usize,
+    /// Of these, jobs that count as started although no durable record says so.
+    pub assumed_started: usize,
     /// Machines, booting ones included.
     pub machines: usize,
     /// Machines that are up.
@@ -24,7 +26,11 @@
 
 impl std::fmt::Display for Summary {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} jobs, {} machines ({} up), ", self.jobs, self.machines, self.up)?;
+        write!(f, "{} jobs", self.jobs)?;
+        if self.assumed_started > 0 {
+            write!(f, " ({} assumed started)", self.assumed_started)?;
+        }
+        write!(f, ", {} machines ({} up), ", self.machines, self.up)?;
         write!(f, "{} tasks placed; CPUs: {:.0} up, ", self.tasks, self.cpus)?;
         write!(f, "{:.0} placed, {:.0} waited for", self.placed, self.waiting)
     }
@@ -41,6 +47,7 @@
             cluster.jobs.iter().map(|job| f64::from(job.startable) * job.request.cpus).sum();
         Summary {
             jobs: self.jobs.len(),
+            assumed_started: self.commit_queue.watermark_marker.assumed_jobs(),
             machines: self.machines.len(),
             up: up().count(),
             tasks: self.machines.values().map(|machine| machine.placed_tasks.len()).sum(),
--- a/crates/controller/src/leadership/campaign.rs
+++ b/crates/controller/src/leadership/campaign.rs
@@ -1,6 +1,6 @@
 //! What a campaign for leadership reads from the state service, and the transaction that wins it.
 
-use crate::records::{LEADER_KEY, LEADER_TERM_KEY, LEADER_WATERMARKS_KEY, LeaderRecord};
+use crate::records::{COMPLETE_WATERMARKS_KEY, LEADER_KEY, LEADER_TERM_KEY, LeaderRecord};
 use hookway_constants as constants;
 use hookway_wire::{KeyValue, Operation, Precondition, Transaction};
 use std::fmt;
@@ -10,19 +10,17 @@
 pub enum StoredWatermarks {
     /// Every task that may have been started lies below a durable watermark.
     Complete,
-    /// No leader has recorded watermarks yet.
+    /// No leader has made them complete yet.
     Absent,
-    /// A leader without watermarks came after the last one that recorded them.
+    /// They were complete in an earlier term than the last one.
     Outdated,
-    /// The response to the own election was lost, and with it what was known before.
-    Unknown,
 }
 
 impl StoredWatermarks {
-    /// What the marker of recorded watermarks says, read together with `lead/term`.
+    /// What the marker says, read together with `lead/term`.
     fn read(keys: &[KeyValue]) -> Self {
         let value = |key: &str| keys.iter().find(|pair| pair.key == key).map(|pair| &pair.value);
-        match (value(LEADER_TERM_KEY), value(LEADER_WATERMARKS_KEY)) {
+        match (value(LEADER_TERM_KEY), value(COMPLETE_WATERMARKS_KEY)) {
             (term, marker) if term == marker => Self::Complete,
             (_, None) => Self::Absent,
             (_, Some(_)) => Self::Outdated,
@@ -30,9 +28,10 @@
     }
 
     /// What a leader knows whose election was applied although its response was lost. `keys` were
-    /// read after the election.
-    pub fn after_lost_response(_keys: &[KeyValue]) -> Self {
-        Self::Unknown
+    /// read after the election, which writes the marker of its own term only if the records before
+    /// were complete.
+    pub fn after_lost_response(keys: &[KeyValue]) -> Self {
+        Self::read(keys)
     }
 }
 
@@ -42,11 +41,15 @@
             Self::Complete => "complete",
             Self::Absent => "absent",
             Self::Outdated => "outdated",
-            Self::Unknown => "unknown",
         })
     }
 }
 
+/// The last fencing token of a term.
+pub fn last_token(term: u64) -> u64 {
+    term + constants::TOKENS_PER_TERM - 1
+}
+
 /// The state that a campaign starts from: nobody leads.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Vacancy {
@@ -54,7 +57,7 @@
     last_token: u64,
     /// The revision of `lead/term`; 0: the key does not exist.
     term_revision: u64,
-    /// Whether the leaders so far recorded start watermarks.
+    /// Whether the start watermarks of all terms so far are complete.
     pub stored_watermarks: StoredWatermarks,
 }
 
@@ -75,7 +78,9 @@
     }
 
     /// The transaction that wins the election: it writes the leader record and reserves the fencing
-    /// tokens of the term, which `lead/term` records up to the last one.
+    /// tokens of the term, which `lead/term` records up to the last one. If the start watermarks are
+    /// complete they stay so, as no start precedes its watermark; otherwise only the new leader can
+    /// make them complete, after its election.
     ///
     /// # Errors
     ///
@@ -85,20 +90,22 @@
         leader: &LeaderRecord,
         lease_id: u64,
     ) -> Result<Transaction, serde_json::Error> {
-        let last_token = serde_json::json!(self.last_token + constants::TOKENS_PER_TERM);
+        let last_token = serde_json::json!(last_token(self.next_term()));
         let preconditions = vec![
             Precondition { key: LEADER_KEY.into(), mod_revision: 0 },
             Precondition { key: LEADER_TERM_KEY.into(), mod_revision: self.term_revision },
         ];
-        let operations = vec![
+        let mut operations = vec![
             Operation::Put {
                 key: LEADER_KEY.into(),
                 value: serde_json::to_value(leader)?,
                 lease_id: Some(lease_id),
             },
             Operation::put(LEADER_TERM_KEY, last_token.clone()),
-            Operation::put(LEADER_WATERMARKS_KEY, last_token),
         ];
+        if self.stored_watermarks == StoredWatermarks::Complete {
+            operations.push(Operation::put(COMPLETE_WATERMARKS_KEY, last_token));
+        }
         Ok(Transaction { preconditions, operations })
     }
 }
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -15,7 +15,7 @@
 mod lease;
 mod term;
 
-pub use campaign::{StoredWatermarks, Vacancy};
+pub use campaign::{StoredWatermarks, Vacancy, last_token};
 pub use clock::{Clock, wall_clock};
 pub use election::{Leadership, LeadershipConfig};
 pub use lease::{LeadershipLease, lease_expiry};
--- a/crates/controller/src/records/keys.rs
+++ b/crates/controller/src/records/keys.rs
@@ -9,9 +9,11 @@
 pub const LEADER_KEY: &str = "lead/now";
 /// The highest fencing token so far.
 pub const LEADER_TERM_KEY: &str = "lead/term";
-/// The highest fencing token of the last leader that recorded start watermarks. Versions without
-/// shared watermarks wrote `lead/marks` instead. So if a leader of one kind follows one of the other,
-/// it finds no watermarks of the last term, and assumes that all tasks may have been started.
+/// The highest fencing token of the last term in which the start watermarks in the state service were
+/// complete: every task that may have been started lies below the watermark of its job.
+pub const COMPLETE_WATERMARKS_KEY: &str = "lead/watermarks";
+/// The same for versions before [`COMPLETE_WATERMARKS_KEY`], which rely on it. They write it with
+/// every election, also before it holds, so this version writes it and never reads it.
 pub const LEADER_WATERMARKS_KEY: &str = "lead/marked";
 /// Prefix of accepted jobs.
 pub const JOBS_PREFIX: &str = "j/";
--- a/crates/controller/src/records/mod.rs
+++ b/crates/controller/src/records/mod.rs
@@ -4,7 +4,8 @@
 //! | --- | --- |
 //! | `lead/now` | [`LeaderRecord`]: the leader; attached to its lease |
 //! | `lead/term` | the highest fencing token so far; only grows |
-//! | `lead/marked` | the value of `lead/term` that the last leader with start watermarks wrote |
+//! | `lead/watermarks` | the value of `lead/term` of the last term with complete start watermarks |
+//! | `lead/marked` | the same for earlier versions; written, never read |
 //! | `j/<job>` | [`JobRecord`]: an accepted job that is not finished |
 //! | `f/<job>` | [`FinalRecord`]: the final state of a job; written once, never changed |
 //! | `p/<job>/<page>` | [`ProgressRecord`]: the completed tasks of a page of tasks |
@@ -26,10 +27,10 @@
 
 pub use job::{FinalRecord, JobRecord};
 pub use keys::{
-    CLASSES_KEY, FINAL_STATES_PREFIX, JOBS_PREFIX, LEADER_KEY, LEADER_PREFIX, LEADER_TERM_KEY,
-    LEADER_WATERMARKS_KEY, LEGACY_IMAGES_PREFIX, PROGRESS_PREFIX, REGISTRY_PREFIX,
-    SCHEDULING_PREFIX, final_state_key, job_key, parse_progress_key, parse_shared_watermarks_key,
-    progress_key, registry_key, scheduling_key, shared_watermarks_key,
+    CLASSES_KEY, COMPLETE_WATERMARKS_KEY, FINAL_STATES_PREFIX, JOBS_PREFIX, LEADER_KEY,
+    LEADER_PREFIX, LEADER_TERM_KEY, LEADER_WATERMARKS_KEY, LEGACY_IMAGES_PREFIX, PROGRESS_PREFIX,
+    REGISTRY_PREFIX, SCHEDULING_PREFIX, final_state_key, job_key, parse_progress_key,
+    parse_shared_watermarks_key, progress_key, registry_key, scheduling_key, shared_watermarks_key,
 };
 pub use leader::LeaderRecord;
 pub use machine_registry::{
--- a/crates/controller/tests/cluster_state/unknown_watermarks.rs
+++ b/crates/controller/tests/cluster_state/unknown_watermarks.rs
@@ -9,9 +9,10 @@
 //! 0 placed, 382 waited for": it took the job's tasks as never started and started task 3 elsewhere within a second,
 //! before the machine that ran it had reported.
 
-use crate::harness::{ElectionResponse, LeaderHarness, at, job, small_worker};
+use crate::harness::{ElectionResponse, LeaderHarness, at, job, ms, small_worker};
+use hookway_controller::cluster_state::CommitResult;
 use hookway_controller::leadership::{StoredWatermarks, Vacancy};
-use hookway_controller::records::LEADER_PREFIX;
+use hookway_controller::records::{COMPLETE_WATERMARKS_KEY, LEADER_PREFIX, LEADER_WATERMARKS_KEY};
 use hookway_testkit::{MemoryStore, ScriptedWorker};
 
 /// A store with a job of 14 tasks that no leader has started, and one registered machine without tasks.
@@ -20,6 +21,7 @@
     let mut worker = small_worker("m-1", "a");
     first.run_rounds(&mut [&mut worker]);
     first.submit(job("req-000001", "array", 14));
+    first.commit_pending();
     (first.store, worker)
 }
 
@@ -69,3 +71,127 @@
     assert!(!next.cluster.reconciled(next.now), "the first machine has not reported");
     assert_eq!(started, Vec::<String>::new(), "{running:?} runs on the silent machine");
 }
+
+/// The value of a marker in the store, if it names the tokens of the last term.
+fn is_current(store: &MemoryStore, marker: &str) -> bool {
+    let value = |key: &str| store.get(key).map(|pair| pair.value);
+    value(marker).is_some() && value(marker) == value("lead/term")
+}
+
+/// A store whose last leader was of a version without [`COMPLETE_WATERMARKS_KEY`], with a job of 14 tasks.
+fn store_of_older_version() -> (MemoryStore, ScriptedWorker) {
+    let (mut store, worker) = store_with_waiting_job();
+    store.put("lead/term", serde_json::json!(2 * hookway_constants::TOKENS_PER_TERM));
+    (store, worker)
+}
+
+#[test]
+fn assumed_watermark_allows_starts_only_once_it_is_durable() {
+    let (store, mut worker) = store_of_older_version();
+    let mut leader = LeaderHarness::elect(store, ElectionResponse::Received, at(10_000));
+    leader.writes_refused = true;
+    leader.run_rounds(&mut [&mut worker]);
+    assert!(leader.cluster.reconciled(leader.now));
+    assert_eq!(leader.cluster.summary(leader.now).assumed_started, 1);
+    assert_eq!(worker.started_attempts, [], "the assumption is not durable");
+    assert!(!is_current(&leader.store, COMPLETE_WATERMARKS_KEY));
+    leader.writes_refused = false;
+    leader.run_rounds(&mut [&mut worker]);
+    assert_eq!(worker.unfinished_tasks().len(), 1);
+    assert_eq!(leader.cluster.summary(leader.now).assumed_started, 0);
+}
+
+/// Once everything that was assumed is durable, the next leader relies on it, also one of the version before.
+#[test]
+fn leader_marks_watermarks_complete_once_assumptions_are_durable() {
+    let (store, mut worker) = store_of_older_version();
+    let mut leader = LeaderHarness::elect(store, ElectionResponse::Received, at(10_000));
+    for marker in [COMPLETE_WATERMARKS_KEY, LEADER_WATERMARKS_KEY] {
+        assert!(!is_current(&leader.store, marker), "{marker} precedes the records");
+    }
+    leader.run_rounds(&mut [&mut worker]);
+    for marker in [COMPLETE_WATERMARKS_KEY, LEADER_WATERMARKS_KEY] {
+        assert!(is_current(&leader.store, marker), "{marker}");
+    }
+    let new_job = leader.submit(job("req-000002", "array", 1));
+    let mut next = LeaderHarness::elect(leader.store, ElectionResponse::Received, at(20_000));
+    assert_eq!(started_on_idle_machine(&mut next), [format!("{new_job}/0")]);
+}
+
+/// A record that the store rejects by itself is tried again later, while everything else goes on.
+#[test]
+fn marker_of_complete_watermarks_waits_for_rejected_record() {
+    let (store, _silent) = store_of_older_version();
+    let mut leader = LeaderHarness::elect(store, ElectionResponse::Received, at(10_000));
+    leader.submit(job("req-000002", "array", 14));
+    let mut rejections = 0;
+    while let Some(commit) = leader.cluster.next_commit(leader.now) {
+        let has_assumed_record = commit.keys().contains(&"m/req-000001".to_owned());
+        let result = if has_assumed_record {
+            rejections += 1;
+            CommitResult::Rejected
+        } else {
+            CommitResult::Applied(leader.store.commit(&commit.transaction).expect("one leader"))
+        };
+        leader.cluster.committed(commit, result, leader.now);
+        leader.now += ms(300);
+        assert!(!is_current(&leader.store, COMPLETE_WATERMARKS_KEY), "a record is missing");
+        if rejections > 3 {
+            break;
+        }
+    }
+    assert!(rejections > 0);
+    assert_eq!(leader.cluster.summary(leader.now).assumed_started, 1);
+    leader.now += hookway_constants::REJECTED_RETRY;
+    leader.commit_pending();
+    assert_eq!(leader.cluster.summary(leader.now).assumed_started, 0);
+    assert!(is_current(&leader.store, COMPLETE_WATERMARKS_KEY));
+}
+
+/// A lost response does not make the watermarks unknown: the election itself says whether they were complete.
+#[test]
+fn lost_election_response_after_complete_term_delays_no_start() {
+    let (store, _silent) = store_with_waiting_job();
+    let mut leader = LeaderHarness::elect(store, ElectionResponse::Lost, at(10_000));
+    assert_eq!(started_on_idle_machine(&mut leader), ["req-000001/0"]);
+    assert!(!leader.cluster.reconciled(leader.now));
+}
+
+/// The version before this one relies on `lead/marked`, which no election writes any more.
+#[test]
+fn first_commit_of_term_tells_older_version_that_watermarks_are_complete() {
+    let (store, mut worker) = store_with_waiting_job();
+    let mut leader = LeaderHarness::elect(store, ElectionResponse::Received, at(10_000));
+    assert!(is_current(&leader.store, COMPLETE_WATERMARKS_KEY));
+    assert!(!is_current(&leader.store, LEADER_WATERMARKS_KEY));
+    leader.heartbeat(&mut worker);
+    assert!(is_current(&leader.store, LEADER_WATERMARKS_KEY));
+}
+
+/// A later version may have started tasks of a job that this one can't read, and for which it writes no record.
+#[test]
+fn unreadable_job_keeps_watermarks_from_being_marked_complete() {
+    let (mut store, mut worker) = store_of_older_version();
+    store.put("j/req-000009", serde_json::json!({ "spec": "of a later version" }));
+    let mut leader = LeaderHarness::elect(store, ElectionResponse::Received, at(10_000));
+    leader.run_rounds(&mut [&mut worker]);
+    assert_eq!(leader.cluster.summary(leader.now).assumed_started, 0);
+    assert!(!is_current(&leader.store, COMPLETE_WATERMARKS_KEY));
+}
+
+/// An unreadable record of one job is an assumption about it too: it was once taken for a durable watermark.
+#[test]
+fn unreadable_scheduling_record_allows_starts_only_once_it_is_replaced() {
+    let (mut store, mut worker) = store_with_waiting_job();
+    store.put("m/req-000001", serde_json::json!({ "opened": "of a later version" }));
+    let mut leader = LeaderHarness::elect(store, ElectionResponse::Received, at(10_000));
+    leader.writes_refused = true;
+    leader.run_rounds(&mut [&mut worker]);
+    assert!(leader.cluster.reconciled(leader.now));
+    assert_eq!(worker.started_attempts, []);
+    leader.writes_refused = false;
+    leader.run_rounds(&mut [&mut worker]);
+    assert_eq!(worker.unfinished_tasks().len(), 1);
+    let record = leader.store.get("m/req-000001").map(|kv| kv.value["opened"].clone());
+    assert_eq!(record, Some(14.into()));
+}
--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -83,7 +83,7 @@
 #[test]
 fn random_faults_violate_no_invariant_and_every_job_finishes() {
     let days: Vec<EventCounts> =
-        seeds(60).map(|seed| run_seed(seed, Simulation::new(seed))).collect();
+        seeds_or(60..120).map(|seed| run_seed(seed, Simulation::new(seed))).collect();
     let totals = days.iter().fold(EventCounts::default(), EventCounts::and);
     println!("{totals:?}");
     // The days contained the events that they are meant to test.
@@ -109,11 +109,11 @@
 #[test]
 fn standby_failover_amid_gangs_violates_no_invariant() {
     let days: Vec<EventCounts> =
-        seeds(30).map(|seed| run_seed(seed, Simulation::with_standbys(seed))).collect();
+        seeds_or(360..420).map(|seed| run_seed(seed, Simulation::with_standbys(seed))).collect();
     let totals = days.iter().fold(EventCounts::default(), EventCounts::and);
     println!("{totals:?}");
-    assert!(totals.warm_starts > 50 && totals.completed_gangs > 5, "{totals:?}");
-    assert!(totals.refused_responses > 50, "{totals:?}");
+    assert!(totals.warm_starts > 100 && totals.completed_gangs > 10, "{totals:?}");
+    assert!(totals.refused_responses > 100, "{totals:?}");
 }
 
 /// Requests of standbys reach the leader, its responses do not reach them: they lag, suspect the leader and
@@ -128,14 +128,15 @@
 }
 
 /// Responses to elections are lost, and new leaders end before their first writes are durable: what they assumed,
-/// and what they started, must be known to the next one. Three of these seeds had a task on two machines while an
-/// assumption counted as a durable watermark.
+/// and what they started, must be known to the next one. Versions change in both directions. Seed 332 has a task on two
+/// machines if an assumption counts as a durable watermark and every election writes the marker.
 #[test]
 fn election_faults_start_no_task_twice() {
-    let days: Vec<EventCounts> = seeds_or(450..494)
+    let days: Vec<EventCounts> = seeds_or(320..364)
         .map(|seed| run_seed(seed, Simulation::with_election_faults(seed)))
         .collect();
     let totals = days.iter().fold(EventCounts::default(), EventCounts::and);
     println!("{totals:?}");
     assert!(totals.lost_election_responses > 40 && totals.refused_terms > 40, "{totals:?}");
+    assert!(totals.assumed_terms > 40, "{totals:?}");
 }
--- a/crates/controller/tests/simulation/counts.rs
+++ b/crates/controller/tests/simulation/counts.rs
@@ -24,6 +24,8 @@
     pub one_way_partitions: usize,
     pub lost_election_responses: usize,
     pub refused_terms: usize,
+    /// Terms of leaders that did not know the watermarks before them to be complete.
+    pub assumed_terms: usize,
 }
 
 impl EventCounts {
@@ -53,6 +55,7 @@
             one_way_partitions: self.one_way_partitions + other.one_way_partitions,
             lost_election_responses: self.lost_election_responses + other.lost_election_responses,
             refused_terms: self.refused_terms + other.refused_terms,
+            assumed_terms: self.assumed_terms + other.assumed_terms,
         }
     }
 }
--- a/crates/controller/tests/simulation/elections.rs
+++ b/crates/controller/tests/simulation/elections.rs
@@ -1,16 +1,19 @@
 //! Elections by the keys that controllers use, and faults around them: a lost response, and a leader whose writes
 //! are refused until it ends.
 
-use super::controllers::{Leader, leader_lease_expiry};
+use super::controllers::{Leader, Version, leader_lease_expiry};
 use super::{CONTROLLERS, Simulation, StoredLeadership};
 use hookway_constants as constants;
 use hookway_controller::cluster_state::{ClusterState, LoadedState};
-use hookway_controller::leadership::{StoredWatermarks, Vacancy};
-use hookway_controller::records::{LEADER_KEY, LEADER_PREFIX, LeaderRecord};
+use hookway_controller::leadership::{StoredWatermarks, Vacancy, last_token};
+use hookway_controller::records::{
+    COMPLETE_WATERMARKS_KEY, LEADER_KEY, LEADER_PREFIX, LEADER_TERM_KEY, LEADER_WATERMARKS_KEY,
+    LeaderRecord,
+};
 use hookway_replication::Publisher;
 use hookway_testkit::machine_types;
 use hookway_time::MonotonicTime;
-use hookway_wire::Precondition;
+use hookway_wire::{Operation, Precondition, Transaction};
 use rand::RngExt;
 use std::collections::BTreeSet;
 
@@ -47,7 +50,9 @@
         let now = self.now;
         let vacancy = Vacancy::read(&self.store.list(LEADER_PREFIX));
         let term = vacancy.next_term();
+        let older_marker_current = self.older_marker_is_current();
         let precondition = self.win_election(n, &vacancy);
+        let stored_watermarks = self.known_watermarks(n, &vacancy, older_marker_current);
         let loaded = LoadedState {
             jobs: self.store.list("j/"),
             progress: self.store.list("p/"),
@@ -55,7 +60,7 @@
             registry: self.store.list("r/"),
             images: vec![],
             classes: self.store.get("c/lanes"),
-            stored_watermarks: self.known_watermarks(&vacancy),
+            stored_watermarks,
         };
         let elected_at = self.moment();
         let controller = &mut self.controllers[n];
@@ -87,8 +92,11 @@
     fn win_election(&mut self, n: usize, vacancy: &Vacancy) -> Precondition {
         let (term, nonce) = (vacancy.next_term(), self.controllers[n].nonce);
         let record = LeaderRecord { controller_name: CONTROLLERS[n].0.to_owned(), term, nonce };
-        let election =
+        let mut election =
             vacancy.election(&record, LEADERSHIP_LEASE).expect("a record that serializes");
+        if self.controllers[n].version == Version::Old {
+            self.replace_marker(&mut election, term);
+        }
         let mod_revision = self.store.commit(&election).expect("nobody leads");
         self.counts.terms += 1;
         let until = self.now + constants::LEADER_TTL;
@@ -96,13 +104,43 @@
         Precondition { key: LEADER_KEY.into(), mod_revision }
     }
 
-    /// What the winner of an election knows of earlier watermarks; the response to it may be lost.
-    fn known_watermarks(&mut self, vacancy: &Vacancy) -> StoredWatermarks {
-        if self.election_faults.is_some() && self.chance(500) {
-            self.counts.lost_election_responses += 1;
-            return StoredWatermarks::after_lost_response(&self.store.list(LEADER_PREFIX));
+    /// An older version writes `lead/marked` with its election, and knows no other marker. (Production writes it
+    /// also if it does not know the watermarks before its term; that fault of its own is not simulated.)
+    fn replace_marker(&self, election: &mut Transaction, term: u64) {
+        election.operations.retain(
+            |operation| !matches!(operation, Operation::Put { key, .. } if key == COMPLETE_WATERMARKS_KEY),
+        );
+        if self.older_marker_is_current() {
+            let marker = Operation::put(LEADER_WATERMARKS_KEY, last_token(term).into());
+            election.operations.push(marker);
         }
-        vacancy.stored_watermarks
+    }
+
+    /// Whether an older version takes the watermarks for complete.
+    fn older_marker_is_current(&self) -> bool {
+        let value = |key: &str| self.store.get(key).map(|pair| pair.value);
+        value(LEADER_TERM_KEY) == value(LEADER_WATERMARKS_KEY)
+    }
+
+    /// What the winner of an election knows of earlier watermarks; the response to it may be lost.
+    fn known_watermarks(
+        &mut self,
+        n: usize,
+        vacancy: &Vacancy,
+        older_marker_current: bool,
+    ) -> StoredWatermarks {
+        let response_lost = self.election_faults.is_some() && self.chance(500);
+        self.counts.lost_election_responses += usize::from(response_lost);
+        let known = match self.controllers[n].version {
+            Version::Old if older_marker_current && !response_lost => StoredWatermarks::Complete,
+            Version::Old => StoredWatermarks::Outdated,
+            Version::New if response_lost => {
+                StoredWatermarks::after_lost_response(&self.store.list(LEADER_PREFIX))
+            }
+            Version::New => vacancy.stored_watermarks,
+        };
+        self.counts.assumed_terms += usize::from(known != StoredWatermarks::Complete);
+        known
     }
 
     /// Schedules the end of a new leader. The state service refuses every second one from its first write on.
@@ -128,7 +166,12 @@
         let now = self.now;
         let Some(faults) = &mut self.election_faults else { return };
         let Some(kill) = faults.kill.take_if(|kill| now >= kill.at) else { return };
-        kill.controllers.iter().for_each(|n| self.kill(*n));
+        for n in kill.controllers {
+            // Rolled from either version to the other: each must rely on what the other claims, or not.
+            let version =
+                if self.rng.random_range(0..2) == 0 { Version::Old } else { Version::New };
+            self.replace(n, version);
+        }
         for m in 0..self.machines.len() {
             if kill.partitions_machines && self.chance(300) {
                 self.machines[m].partitioned_until = now + self.span(5_000, 12_000);
--- a/crates/controller/tests/store_keys.rs
+++ b/crates/controller/tests/store_keys.rs
@@ -26,6 +26,7 @@
     assert_eq!(records::LEADER_PREFIX, "lead/");
     assert_eq!(records::LEADER_KEY, "lead/now");
     assert_eq!(records::LEADER_TERM_KEY, "lead/term");
+    assert_eq!(records::COMPLETE_WATERMARKS_KEY, "lead/watermarks");
     assert_eq!(records::LEADER_WATERMARKS_KEY, "lead/marked");
     assert_eq!(records::JOBS_PREFIX, "j/");
     assert_eq!(records::FINAL_STATES_PREFIX, "f/");
@@ -75,7 +76,7 @@
 }
 
 #[tokio::test]
-async fn leader_writes_three_keys_and_attaches_only_first_to_lease() {
+async fn election_writes_three_keys_and_attaches_only_first_to_lease() {
     let server = StoreServer::default();
     let address = server.start().await.expect("a free port");
     let (view_tx, mut view) = watch::channel(LeadershipView::default());
@@ -103,13 +104,13 @@
     let keys: Vec<(&str, Option<u64>)> =
         pairs.iter().map(|kv| (kv.key.as_str(), kv.lease_id)).collect();
     let lease = Some(term.lease_id);
-    assert_eq!(keys, [("lead/marked", None), ("lead/now", lease), ("lead/term", None)]);
-    assert_eq!(pairs[0].value, 4_096);
+    assert_eq!(keys, [("lead/now", lease), ("lead/term", None), ("lead/watermarks", None)]);
     assert_eq!(
-        (&pairs[1].value["label"], &pairs[1].value["term"]),
+        (&pairs[0].value["label"], &pairs[0].value["term"]),
         (&"worker-0".into(), &1.into())
     );
-    assert!(pairs[1].value["nonce"].is_u64());
+    assert!(pairs[0].value["nonce"].is_u64());
+    assert_eq!(pairs[1].value, 4_096);
     assert_eq!(pairs[2].value, 4_096);
 }
 
@@ -134,6 +135,7 @@
         "c/lanes",
         "f/req-000002",
         "j/req-000001",
+        "lead/marked",
         "lead/now",
         "m/req-000001",
         "m/shared-0",
@@ -141,4 +143,8 @@
         "r/record-0",
     ];
     assert_eq!(keys, pinned);
+    // Versions before `lead/watermarks` compare it with `lead/term`, which the harness does not write: the
+    // last token of term 1.
+    let marker = harness.store.get("lead/marked").map(|kv| kv.value);
+    assert_eq!(marker, Some(4_096.into()));
 }
