--- a/crates/controller/src/cluster_state/commits.rs
+++ b/crates/controller/src/cluster_state/commits.rs
@@ -8,6 +8,15 @@
 use hookway_time::MonotonicTime;
 use hookway_wire::Operation;
 
+/// What is known of a transaction that was not confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unwritten {
+    /// Surely not applied.
+    NotApplied,
+    /// It may have been applied, or may still be.
+    Indeterminate,
+}
+
 impl ClusterState {
     /// Whether some transaction showed that this controller does not lead any more.
     pub fn leadership_lost(&self) -> bool {
@@ -55,8 +64,7 @@
             CommitResult::NotApplied => {
                 self.commit_queue.backoff_until = now + constants::LEADER_RETRY;
                 for item in commit.items {
-                    self.mark_final_not_applied(&item);
-                    self.requeue(item);
+                    self.return_item(item, Unwritten::NotApplied);
                 }
             }
             CommitResult::Rejected => self.commit_rejected(commit, now),
@@ -93,20 +101,23 @@
             self.apply_reread(&key, stored);
         }
         for item in commit.items {
-            if let CommitItem::Final { job, .. } = &item
-                && let Some(job) = self.jobs.get_mut(job)
-            {
-                job.completion.commit_indeterminate();
-            }
-            self.requeue(item);
+            self.return_item(item, Unwritten::Indeterminate);
         }
     }
 
-    fn mark_final_not_applied(&mut self, item: &CommitItem) {
-        if let CommitItem::Final { job, .. } = item
-            && let Some(job) = self.jobs.get_mut(job)
-        {
-            job.completion.commit_not_applied();
+    /// An item that may not be durable returns to its queue.
+    fn return_item(&mut self, item: CommitItem, unwritten: Unwritten) {
+        self.mark_final_unwritten(&item, unwritten);
+        self.requeue(item);
+    }
+
+    /// If an item is a final record, its job learns what is known of the transaction.
+    fn mark_final_unwritten(&mut self, item: &CommitItem, unwritten: Unwritten) {
+        let CommitItem::Final { job, .. } = item else { return };
+        let Some(job) = self.jobs.get_mut(job) else { return };
+        match unwritten {
+            Unwritten::NotApplied => job.completion.commit_not_applied(),
+            Unwritten::Indeterminate => job.completion.commit_indeterminate(),
         }
     }
 
@@ -119,12 +130,12 @@
             (operations / 2).max(constants::JOB_COMPLETION_OPERATIONS);
         let alone = commit.items.len() == 1;
         for item in commit.items {
-            self.mark_final_not_applied(&item);
             if alone {
+                self.mark_final_unwritten(&item, Unwritten::NotApplied);
                 let retry_at = now + constants::REJECTED_RETRY;
                 self.commit_queue.rejected.push_back(DelayedItem { retry_at, item });
             } else {
-                self.requeue(item);
+                self.return_item(item, Unwritten::NotApplied);
             }
         }
     }
