Watermark marker: its state is called a state

Cause: its enum had the name of the results of a job. Change: `MarkerState`. No change of behaviour.

--- a/crates/controller/src/cluster_state/watermark_marker.rs
+++ b/crates/controller/src/cluster_state/watermark_marker.rs
@@ -11,7 +11,7 @@
 
 /// How far the marker of this term has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Progress {
+enum MarkerState {
     /// The records of this term are not loaded yet, or some job can't be read.
     Withheld,
     /// It is written once no assumed watermark is left.
@@ -27,7 +27,7 @@
     stored: StoredWatermarks,
     /// Jobs that count as started without a durable record that says so.
     assumed: BTreeSet<JobKey>,
-    progress: Progress,
+    state: MarkerState,
 }
 
 impl WatermarkMarker {
@@ -36,7 +36,7 @@
         Self {
             stored: StoredWatermarks::Absent,
             assumed: BTreeSet::new(),
-            progress: Progress::Withheld,
+            state: MarkerState::Withheld,
         }
     }
 
@@ -51,7 +51,7 @@
         self.stored = stored;
         self.assumed = assumed;
         let may_claim = stored == StoredWatermarks::Complete || all_readable;
-        self.progress = if may_claim { Progress::Pending } else { Progress::Withheld };
+        self.state = if may_claim { MarkerState::Pending } else { MarkerState::Withheld };
     }
 
     /// Number of jobs whose watermarks are assumed.
@@ -67,22 +67,22 @@
     /// The keys to write now; none before the claim holds.
     pub fn due_keys(&self) -> &'static [&'static str] {
         let complete_before = self.stored == StoredWatermarks::Complete;
-        match self.progress {
-            Progress::Pending if complete_before => &[LEADER_WATERMARKS_KEY],
-            Progress::Pending if self.assumed.is_empty() => {
+        match self.state {
+            MarkerState::Pending if complete_before => &[LEADER_WATERMARKS_KEY],
+            MarkerState::Pending if self.assumed.is_empty() => {
                 &[LEADER_WATERMARKS_KEY, COMPLETE_WATERMARKS_KEY]
             }
-            Progress::Withheld | Progress::Pending | Progress::Sent => &[],
+            MarkerState::Withheld | MarkerState::Pending | MarkerState::Sent => &[],
         }
     }
 
     /// It is in a transaction.
     pub fn sent(&mut self) {
-        self.progress = Progress::Sent;
+        self.state = MarkerState::Sent;
     }
 
     /// It may not be durable.
     pub fn requeue(&mut self) {
-        self.progress = Progress::Pending;
+        self.state = MarkerState::Pending;
     }
 }
