Test: a candidate that lost the response to its election reads the stored watermarks

Cause: the path of the incident, from the lost response to what the leader knows, was tested with the election's keys but not with the election actor. Change: the store on loopback can carry out a transaction and lose its response; the test elects with and without the marker of complete watermarks.

--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -5,8 +5,11 @@
 use hookway_clients::StoreClient;
 use hookway_controller::leadership::{
     Clock, LeaderTerm, Leadership, LeadershipConfig, LeadershipLease, LeadershipView,
+    StoredWatermarks,
+};
+use hookway_controller::records::{
+    COMPLETE_WATERMARKS_KEY, LEADER_KEY, LEADER_TERM_KEY, LeaderRecord,
 };
-use hookway_controller::records::{LEADER_KEY, LEADER_TERM_KEY, LeaderRecord};
 use hookway_testkit::StoreServer;
 use hookway_wire::{Operation, Transaction};
 use std::sync::Arc;
@@ -106,6 +109,29 @@
     assert!(!server.expire_lease(lease_id), "the lease of the previous process was revoked");
 }
 
+/// The election itself says whether the start watermarks before it were complete: a candidate that lost its response
+/// reads that afterwards, and a leader of an earlier version leaves no such mark.
+#[tokio::test]
+async fn candidate_that_lost_election_response_reads_stored_watermarks() {
+    for (last_token, expected) in
+        [(None, StoredWatermarks::Complete), (Some(4_096), StoredWatermarks::Absent)]
+    {
+        let server = StoreServer::default();
+        let address = server.start().await.expect("a free port");
+        if let Some(last_token) = last_token {
+            server.with_store(|store| store.put(LEADER_TERM_KEY, serde_json::json!(last_token)));
+        }
+        server.lose_next_commit_response();
+        let mut controller = start("one", &address);
+        let term = leads(&mut controller).await;
+        assert_eq!(term.term, last_token.unwrap_or(0) + 1);
+        assert_eq!(term.stored_watermarks, expected);
+        let value = |key: &str| server.with_store(|store| store.get(key)).map(|pair| pair.value);
+        let marked = value(COMPLETE_WATERMARKS_KEY) == value(LEADER_TERM_KEY);
+        assert_eq!(marked, expected == StoredWatermarks::Complete);
+    }
+}
+
 #[tokio::test]
 async fn term_continues_after_state_service_outage() {
     let server = StoreServer::default();
--- a/crates/testkit/src/store_server.rs
+++ b/crates/testkit/src/store_server.rs
@@ -38,6 +38,8 @@
     refused_requests: usize,
     /// Whether watches return no events, as if their connections had failed unnoticed.
     watches_suppressed: bool,
+    /// Number of transactions whose responses are lost.
+    commit_responses_to_lose: usize,
     /// Largest accepted value in bytes; `None` for no limit.
     max_value_bytes: Option<usize>,
 }
@@ -162,6 +164,19 @@
         self.lock().watches_suppressed = true;
     }
 
+    /// Loses the response to the next transaction, which is carried out.
+    pub fn lose_next_commit_response(&self) {
+        self.lock().commit_responses_to_lose += 1;
+    }
+
+    /// Whether the response to a transaction is lost. Counts it.
+    fn takes_lost_commit_response(&self) -> bool {
+        let mut state = self.lock();
+        let is_lost = state.commit_responses_to_lose > 0;
+        state.commit_responses_to_lose -= usize::from(is_lost);
+        is_lost
+    }
+
     /// Begins an outage: all requests are refused.
     pub fn begin_outage(&self) {
         self.lock().outage = true;
--- a/crates/testkit/src/store_server/http.rs
+++ b/crates/testkit/src/store_server/http.rs
@@ -98,6 +98,11 @@
         }
         let outcome = self.with_store(|store| store.commit(&transaction));
         let revision = self.lock().store.revision();
+        if self.takes_lost_commit_response() {
+            // The client can't tell this from a response that never arrives, and need not wait for it.
+            res.status_code(StatusCode::GATEWAY_TIMEOUT);
+            return;
+        }
         match outcome {
             Ok(revision) => res.render(Json(CommitResponse { failed: vec![], revision })),
             Err(failed) => {
