Known red: a spread daemon without room in a zone that shrank to one machine

Replicas of two daemons fill the only machine of a zone, the simulated cloud is at its limit, and a third daemon that must spread waits.

--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -147,3 +147,11 @@
 fn replica_moves_from_slow_machine_within_limit_amid_election_faults() {
     run_seed(62, Simulation::with_election_faults(62));
 }
+
+/// Found by running more seeds by hand. Replicas of two daemons fill the only machine of a zone, and the simulated cloud
+/// gives no other one, since all but one of its eight machines are in the other zone: a third daemon, which must spread,
+/// waits for room there.
+#[test]
+fn spread_daemon_gets_room_in_zone_that_shrank_to_one_machine() {
+    run_seed(2915, Simulation::new(2915));
+}
