Watermarks: one way to read the marker, one name for the ground of a start, a fuller incident test

Cause: read once more. A function only called another, gang_repair.rs repeated a condition that has a name now, and on the mended code the incident's test had nothing left to compare. Change: `StoredWatermarks::read` serves both callers; gangs ask `Job::start_ground`; the test also asserts that the refused leader starts nothing and the next one a task that nobody has started.

--- a/crates/controller/src/cluster_state/gang_repair.rs
+++ b/crates/controller/src/cluster_state/gang_repair.rs
@@ -1,6 +1,7 @@
 //! Gangs of which only a part is placed: the rest is started, or the part is stopped.
 
-use super::{ClusterState, Job, JobKey, JobOrigin, TaskPlacement};
+use super::startable_tasks::StartGround;
+use super::{ClusterState, Job, JobKey, TaskPlacement};
 use hookway_constants as constants;
 use hookway_time::MonotonicTime;
 use std::collections::HashSet;
@@ -16,7 +17,7 @@
                 && job.is_active()
                 && job.placed > 0
                 && job.placements.contains(&TaskPlacement::Unplaced)
-                && (reconciled || job.origin == JobOrigin::ThisTerm);
+                && job.start_ground(reconciled) != StartGround::AboveWatermark;
             job.gang.completing = partial
                 && completable.contains(key)
                 && now
--- a/crates/controller/src/leadership/campaign.rs
+++ b/crates/controller/src/leadership/campaign.rs
@@ -17,8 +17,10 @@
 }
 
 impl StoredWatermarks {
-    /// What the marker says, read together with `lead/term`.
-    fn read(keys: &[KeyValue]) -> Self {
+    /// What the keys below `lead/` say. A leader that lost the response to its election reads them
+    /// afterwards: the election wrote the marker of its own term only if the records before were
+    /// complete.
+    pub fn read(keys: &[KeyValue]) -> Self {
         let value = |key: &str| keys.iter().find(|pair| pair.key == key).map(|pair| &pair.value);
         match (value(LEADER_TERM_KEY), value(COMPLETE_WATERMARKS_KEY)) {
             (term, marker) if term == marker => Self::Complete,
@@ -26,13 +28,6 @@
             (_, Some(_)) => Self::Outdated,
         }
     }
-
-    /// What a leader knows whose election was applied although its response was lost. `keys` were
-    /// read after the election, which writes the marker of its own term only if the records before
-    /// were complete.
-    pub fn after_lost_response(keys: &[KeyValue]) -> Self {
-        Self::read(keys)
-    }
 }
 
 impl fmt::Display for StoredWatermarks {
--- a/crates/controller/src/leadership/election.rs
+++ b/crates/controller/src/leadership/election.rs
@@ -175,7 +175,7 @@
                 mod_revision: pair.mod_revision,
                 lease_id: pair.lease_id,
                 read_at_revision: revision,
-                stored_watermarks: StoredWatermarks::after_lost_response(&pairs),
+                stored_watermarks: StoredWatermarks::read(&pairs),
             }));
         }
         Ok(LeaderState::Vacant(Vacancy::read(&pairs)))
--- a/crates/controller/tests/cluster_state/unknown_watermarks.rs
+++ b/crates/controller/tests/cluster_state/unknown_watermarks.rs
@@ -46,6 +46,8 @@
         running.iter().all(|task| !started.contains(task)),
         "{started:?} started while {running:?} run elsewhere"
     );
+    assert_eq!(running, Vec::<String>::new(), "no record of the second leader is durable");
+    assert_eq!(started, ["req-000001/0"], "a task that no leader has started does not wait");
 }
 
 /// The same election without a start: tasks that an earlier leader started without a watermark must not become
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -112,9 +112,7 @@
         let mod_revision = store.commit(&election).expect("nobody else campaigns");
         let stored_watermarks = match response {
             ElectionResponse::Received => vacancy.stored_watermarks,
-            ElectionResponse::Lost => {
-                StoredWatermarks::after_lost_response(&store.list(LEADER_PREFIX))
-            }
+            ElectionResponse::Lost => StoredWatermarks::read(&store.list(LEADER_PREFIX)),
         };
         Self::recover(test_config(), store, (leader.term, mod_revision), stored_watermarks, now)
     }
--- a/crates/controller/tests/simulation/elections.rs
+++ b/crates/controller/tests/simulation/elections.rs
@@ -135,7 +135,7 @@
             Version::Old if older_marker_current && !response_lost => StoredWatermarks::Complete,
             Version::Old => StoredWatermarks::Outdated,
             Version::New if response_lost => {
-                StoredWatermarks::after_lost_response(&self.store.list(LEADER_PREFIX))
+                StoredWatermarks::read(&self.store.list(LEADER_PREFIX))
             }
             Version::New => vacancy.stored_watermarks,
         };
