--- a/crates/controller/tests/cluster_state/direct_dispatch.rs
+++ b/crates/controller/tests/cluster_state/direct_dispatch.rs
@@ -3,7 +3,7 @@
 use crate::harness::{LeaderHarness, job, ms, small_worker};
 use hookway_clients::Delivery;
 use hookway_testkit::ScriptedWorker;
-use hookway_wire::{DirectCommands, ExitCause, JobId, JobState};
+use hookway_wire::{DirectCommands, ExitCause, JobId, JobSpec, JobState};
 
 /// A task that was just dispatched directly to an idle machine.
 fn dispatched_task(harness: &mut LeaderHarness, worker: &mut ScriptedWorker) -> DirectCommands {
@@ -193,3 +193,72 @@
     harness.run_rounds(&mut [&mut worker, &mut other]);
     assert_eq!((worker.unfinished_tasks().len(), other.started_attempts.len()), (1, 0));
 }
+
+/// Whether a new job's task starts on m-1 with the next heartbeats.
+fn takes_new_task(harness: &mut LeaderHarness, worker: &mut ScriptedWorker) -> bool {
+    harness.submit(JobSpec { cpus: 1.0, ..job("req-000002", "array", 1) });
+    harness.advance(100);
+    harness.heartbeat(worker);
+    worker.unfinished_tasks().iter().any(|task| task.starts_with("req-000002"))
+}
+
+/// What happened (seed 62 of the election days): a replica that moved found the room that was cleared for it free after
+/// 1.5 s and started 4 s later, since its machine counted as unreachable. Its worker had answered the last start; the
+/// sender's time limit, which expired afterwards, was taken for the outcome. Evidence: m-4 executed the dispatch of
+/// 256.8 s at 256.9 s, its time limit expired at 258.2 s, and from then to 262.2 s the machine had a `backoff_until` of
+/// 262.2 s, one free CPU and a reservation for the replica's job, and took nothing.
+#[test]
+fn time_limit_after_answer_of_direct_dispatch_keeps_machine_open() {
+    let mut harness = LeaderHarness::start();
+    let mut worker = small_worker("m-1", "a");
+    let commands = dispatched_task(&mut harness, &mut worker);
+    let heartbeat =
+        worker.handle_direct_commands(&commands).expect("the worker executes the command");
+    for delivery in [Delivery::Executed(heartbeat), Delivery::Indeterminate] {
+        harness.cluster.direct_start_sent("m-1", commands.fencing_token, delivery, harness.now);
+    }
+    assert!(takes_new_task(&mut harness, &mut worker));
+}
+
+/// The same if the answer is lost and a heartbeat shows the started task before the time limit expires.
+#[test]
+fn time_limit_after_heartbeat_that_shows_the_start_keeps_machine_open() {
+    let mut harness = LeaderHarness::start();
+    let mut worker = small_worker("m-1", "a");
+    let commands = dispatched_task(&mut harness, &mut worker);
+    worker.handle_direct_commands(&commands).expect("the worker executes the command");
+    harness.heartbeat(&mut worker);
+    let token = commands.fencing_token;
+    harness.cluster.direct_start_sent("m-1", token, Delivery::Indeterminate, harness.now);
+    assert!(takes_new_task(&mut harness, &mut worker));
+}
+
+#[test]
+fn time_limit_without_any_answer_closes_machine_for_a_while() {
+    let mut harness = LeaderHarness::start();
+    let mut worker = small_worker("m-1", "a");
+    let commands = dispatched_task(&mut harness, &mut worker);
+    let token = commands.fencing_token;
+    harness.cluster.direct_start_sent("m-1", token, Delivery::Indeterminate, harness.now);
+    assert!(!takes_new_task(&mut harness, &mut worker));
+}
+
+/// An outcome ends the dispatch that it is of and no later one, of which two must never be in flight at a time.
+#[test]
+fn repeated_outcome_does_not_end_later_dispatch() {
+    let mut harness = LeaderHarness::start();
+    let mut worker = small_worker("m-1", "a");
+    let commands = dispatched_task(&mut harness, &mut worker);
+    let heartbeat =
+        worker.handle_direct_commands(&commands).expect("the worker executes the command");
+    let first = commands.fencing_token;
+    let executed = Delivery::Executed(heartbeat);
+    harness.cluster.direct_start_sent("m-1", first, executed.clone(), harness.now);
+    harness.submit(JobSpec { cpus: 0.5, ..job("req-000002", "array", 1) });
+    harness.advance(1_000);
+    assert_eq!(harness.cluster.take_direct_starts(harness.now).len(), 1);
+    harness.cluster.direct_start_sent("m-1", first, executed, harness.now);
+    harness.submit(JobSpec { cpus: 0.5, ..job("req-000003", "array", 1) });
+    harness.advance(1_000);
+    assert_eq!(harness.cluster.take_direct_starts(harness.now), [], "one is in flight");
+}
--- a/crates/controller/tests/cluster_state/main.rs
+++ b/crates/controller/tests/cluster_state/main.rs
@@ -12,6 +12,7 @@
 mod leases;
 mod machine_registry;
 mod reconciliation;
+mod reservations;
 mod runtime_estimates;
 mod start_watermarks;
 mod support;
