A dispatch has one outcome, and a reservation ends with its reason: a moved replica starts when its room is free

A replica moved off a slow machine, its room was free after 1.5 s, and it started 4 s later (7.5 s in all, 5 s allowed). Cause: m-4 executed a direct dispatch at 256.9 s; its sender's time limit, which expired at 258.2 s, was taken for the outcome as well, so the machine counted as unreachable until 262.2 s. Besides, a reservation ended only by its 10 s or by a start on that machine. Change: the first outcome of a dispatch counts, recognised by its fencing token; a time limit after a heartbeat has shown the tasks is no failure; a backoff never shortens a longer one. A machine that takes no tasks is nothing to wait for. A quota reserved in an earlier round ends with the next round even if no task waits. In a controller a dispatch has one outcome; what could happen there is the lost answer that a heartbeat overtakes.

--- a/crates/controller/src/cluster_state/acknowledgement.rs
+++ b/crates/controller/src/cluster_state/acknowledgement.rs
@@ -44,7 +44,7 @@
         }
         // A single response may get lost.
         if machine.unacknowledged_responses > 1 {
-            machine.backoff_until = machine.backoff_until.max(backoff_until);
+            machine.back_off(backoff_until);
         }
         if machine.unacknowledged_responses >= constants::MAX_UNACKNOWLEDGED_RESPONSES
             && few_affected
--- a/crates/controller/src/cluster_state/direct_dispatch.rs
+++ b/crates/controller/src/cluster_state/direct_dispatch.rs
@@ -6,15 +6,15 @@
 use hookway_constants as constants;
 use hookway_time::MonotonicTime;
 use hookway_wire::{DirectCommands, Heartbeat};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 /// The starts that are dispatched directly.
 #[derive(Debug, Default)]
 pub(super) struct DirectDispatch {
     /// Machines with planned starts whose workers were not told yet.
     pub machines_with_planned_starts: BTreeSet<String>,
-    /// Number of messages with starts in flight.
-    in_flight: usize,
+    /// Machines that a message with starts is in flight to, with its fencing token.
+    in_flight: HashMap<String, u64>,
 }
 
 /// Starts to be sent directly to a machine's worker.
@@ -36,6 +36,25 @@
     waits_for_watermark: bool,
 }
 
+impl DirectDispatch {
+    /// The message to a machine under this fencing token is no longer in flight; `false` if it was not.
+    fn end(&mut self, name: &str, fencing_token: u64) -> bool {
+        let in_flight = self.in_flight.get(name) == Some(&fencing_token);
+        if in_flight {
+            self.in_flight.remove(name);
+        }
+        in_flight
+    }
+}
+
+impl Machine {
+    /// Whether the outcome of some start dispatched under this fencing token is not known.
+    fn awaits_direct_starts(&self, fencing_token: u64) -> bool {
+        let unknown = TaskPhase::SentDirectly(fencing_token);
+        self.placed_tasks.iter().any(|placed| placed.phase == unknown)
+    }
+}
+
 impl ClusterState {
     /// Starts that should not wait for their workers' next heartbeats. The outcome goes to
     /// [`ClusterState::direct_start_sent`].
@@ -47,13 +66,11 @@
         let mut dispatches = Vec::new();
         let names = self.direct_dispatch.machines_with_planned_starts.clone();
         for name in names {
-            let in_flight = self.direct_dispatch.in_flight + dispatches.len();
-            if in_flight >= constants::MAX_DIRECT_DISPATCHES {
+            if self.direct_dispatch.in_flight.len() >= constants::MAX_DIRECT_DISPATCHES {
                 break;
             }
             dispatches.extend(self.take_direct_start_of(&name, now));
         }
-        self.direct_dispatch.in_flight += dispatches.len();
         dispatches
     }
 
@@ -62,7 +79,7 @@
             self.direct_dispatch.machines_with_planned_starts.remove(name);
             return None;
         };
-        if machine.direct_dispatch_in_flight
+        if self.direct_dispatch.in_flight.contains_key(name)
             || !machine.registered
             || now < machine.heartbeat_expected_by
         {
@@ -82,7 +99,7 @@
         let machine = self.machines.get_mut(name)?;
         let fencing_token = self.term + machine.token_offset;
         machine.token_offset += 1;
-        machine.direct_dispatch_in_flight = true;
+        self.direct_dispatch.in_flight.insert(name.to_owned(), fencing_token);
         let mut commands = Vec::with_capacity(selection.positions.len());
         for position in selection.positions {
             let placed = &mut machine.placed_tasks[position];
@@ -117,7 +134,8 @@
         StartSelection { positions, waits_for_watermark }
     }
 
-    /// Takes in the outcome of starts dispatched to a worker under `fencing_token`, at `now`.
+    /// Takes in the outcome of starts dispatched to a worker under `fencing_token`, at `now`. Only the first outcome
+    /// of a dispatch counts; an answer of the worker that comes later is still news of its tasks.
     pub fn direct_start_sent(
         &mut self,
         name: &str,
@@ -125,23 +143,24 @@
         delivery: Delivery,
         now: MonotonicTime,
     ) {
-        let in_flight = &mut self.direct_dispatch.in_flight;
-        *in_flight = in_flight.saturating_sub(1);
+        let is_first = self.direct_dispatch.end(name, fencing_token);
         let Some(machine) = self.machines.get_mut(name) else { return };
-        machine.direct_dispatch_in_flight = false;
         match delivery {
             Delivery::Executed(heartbeat) => self.apply_direct_answer(name, &heartbeat, now),
+            _ if !is_first => {}
             // This copy was refused. Whether another one was executed before shows in the next
             // heartbeat with a higher fencing token.
             Delivery::Refused => {}
             Delivery::NotSent => {
-                machine.backoff_until = now + constants::UNREACHABLE_BACKOFF;
+                machine.back_off(now + constants::UNREACHABLE_BACKOFF);
                 self.direct_start_not_sent(name, fencing_token);
                 tracing::debug!(machine = %name, "worker unreachable");
                 self.cancel_planned_starts(name, now);
             }
+            // A heartbeat has shown the tasks since: the worker was reached.
+            Delivery::Indeterminate if !machine.awaits_direct_starts(fencing_token) => {}
             Delivery::Indeterminate => {
-                machine.backoff_until = now + constants::UNREACHABLE_BACKOFF;
+                machine.back_off(now + constants::UNREACHABLE_BACKOFF);
                 self.cancel_planned_starts(name, now);
             }
         }
--- a/crates/controller/src/cluster_state/failure_attribution.rs
+++ b/crates/controller/src/cluster_state/failure_attribution.rs
@@ -139,8 +139,7 @@
             machine.failed_jobs.push(key);
         }
         if proven {
-            machine.backoff_until =
-                machine.backoff_until.max(now + constants::REJECTED_START_BACKOFF);
+            machine.back_off(now + constants::REJECTED_START_BACKOFF);
         }
         let weights = machine.failed_jobs.iter().filter_map(|key| self.jobs.get(key));
         let total_weight: f64 = weights.map(Job::failure_weight).sum();
--- a/crates/controller/src/cluster_state/heartbeat_timing.rs
+++ b/crates/controller/src/cluster_state/heartbeat_timing.rs
@@ -44,6 +44,11 @@
         Duration::from_millis((self.heartbeat_interval_ms() * MISSED_HEARTBEAT_INTERVALS) as u64)
     }
 
+    /// Whether the machine's worker sends heartbeats.
+    pub(super) fn reports(&self, machine: &Machine, now: MonotonicTime) -> bool {
+        machine.has_reported && now < machine.last_response_at + self.missed_heartbeat()
+    }
+
     /// Whether some worker with tasks has missed its heartbeat while its lease may still be valid.
     pub fn any_heartbeat_overdue(&self, now: MonotonicTime) -> bool {
         let timeout = self.heartbeat_timeout();
--- a/crates/controller/src/cluster_state/lease_expiry.rs
+++ b/crates/controller/src/cluster_state/lease_expiry.rs
@@ -19,7 +19,6 @@
                 continue;
             }
             let Some(machine) = self.machines.get_mut(&name) else { continue };
-            machine.reserved_for_gang = machine.reserved_for_gang.filter(|r| now < r.until);
             if now >= machine.last_response_at + start_timeout {
                 self.cancel_planned_starts(&name, now);
             }
--- a/crates/controller/src/cluster_state/machine.rs
+++ b/crates/controller/src/cluster_state/machine.rs
@@ -1,8 +1,8 @@
 //! A machine, as the leader knows it.
 
-use super::JobKey;
 use super::placed_task::{EndedTask, ExpectedHeartbeat, PlacedTask};
 use super::state_probe::StateProbe;
+use super::{JobKey, MachineReservation};
 use hookway_constants as constants;
 use hookway_time::{MonotonicTime, span_of_seconds};
 use hookway_wire::Heartbeat;
@@ -63,15 +63,6 @@
     }
 }
 
-/// A machine that is kept free for a gang that waits for resources.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct GangReservation {
-    /// The gang.
-    pub job: JobKey,
-    /// When the reservation ends.
-    pub until: MonotonicTime,
-}
-
 /// Since when a machine has surely been in the cloud's machine list. That may be before the monotonic
 /// clock of this process was created, so it has no reading of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -119,8 +110,6 @@
     pub newest_heartbeat: MessageVersion,
     /// Added to the term to make its fencing token: raised with each direct dispatch of starts.
     pub token_offset: u64,
-    /// Starts are being dispatched directly to it.
-    pub direct_dispatch_in_flight: bool,
     /// Its next heartbeat is expected before this.
     pub heartbeat_expected_by: MonotonicTime,
     /// The leases of incarnations up to this one have surely expired.
@@ -158,8 +147,8 @@
     pub images: Vec<CachedImage>,
     /// Images that its entry in the machine registry names, in ascending order.
     pub stored_images: Vec<u32>,
-    /// Kept free for a gang.
-    pub reserved_for_gang: Option<GangReservation>,
+    /// Kept for a job that tasks were preempted for.
+    pub reservation: Option<MachineReservation>,
     /// It takes new tasks only until then. [`MonotonicTime::ZERO`]: no scheduling round has admitted it
     /// yet.
     admitted_until: MonotonicTime,
@@ -178,7 +167,6 @@
             newest_message: MessageVersion::default(),
             newest_heartbeat: MessageVersion::default(),
             token_offset: 0,
-            direct_dispatch_in_flight: false,
             heartbeat_expected_by: MonotonicTime::ZERO,
             expected_heartbeat: ExpectedHeartbeat::default(),
             unacknowledged_responses: 0,
@@ -197,7 +185,7 @@
             idle_since: None,
             images: Vec::new(),
             stored_images: Vec::new(),
-            reserved_for_gang: None,
+            reservation: None,
             admitted_until: MonotonicTime::ZERO,
         }
     }
@@ -241,6 +229,11 @@
         self.has_reported && self.expired_incarnation < self.newest_message.incarnation
     }
 
+    /// It takes no new task until then, or until the later end of an earlier backoff.
+    pub fn back_off(&mut self, until: MonotonicTime) {
+        self.backoff_until = self.backoff_until.max(until);
+    }
+
     /// Whether it must take no new task: cordoned, or with an interruption notice.
     pub fn is_draining(&self) -> bool {
         self.cordon_reason.is_some() || self.interruption_at.is_some()
--- a/crates/controller/src/cluster_state/machine_fill.rs
+++ b/crates/controller/src/cluster_state/machine_fill.rs
@@ -56,7 +56,7 @@
         let machine = self.machines.get(name)?;
         if self.last_round.reserved_machines.contains(name)
             || machine.is_draining()
-            || machine.reserved_for_gang.is_some()
+            || machine.reservation.is_some()
             || !machine.registered
             || now < machine.backoff_until
             || !machine.is_admitted(now)
--- a/crates/controller/src/cluster_state/placement.rs
+++ b/crates/controller/src/cluster_state/placement.rs
@@ -38,7 +38,7 @@
             self.direct_dispatch.machines_with_planned_starts.insert(name.clone());
             self.unpublished_machines.insert(name.clone());
             machine.idle_since = None;
-            machine.reserved_for_gang = machine.reserved_for_gang.filter(|r| r.job != key);
+            machine.reservation = machine.reservation.filter(|r| r.job != key);
             machine.placed_tasks.push(PlacedTask {
                 job: Some(key),
                 task: format!("{}/{index}", job.id),
--- a/crates/controller/src/cluster_state/scheduling_round.rs
+++ b/crates/controller/src/cluster_state/scheduling_round.rs
@@ -1,7 +1,7 @@
 //! The scheduling round: stops what must stop, places tasks and preempts for those without room.
 
 use super::snapshot::SchedulingSnapshot;
-use super::{ClusterState, GangReservation, JobKey};
+use super::{ClusterState, JobKey, MachineReservation};
 use hookway_constants as constants;
 use hookway_policy::{QueueEntry, QuotaReservation, Victim, min_tasks, place, preempt};
 use hookway_time::MonotonicTime;
@@ -60,12 +60,14 @@
         self.drain_machines(now);
         self.restart_stuck_tasks(now);
         self.reset_steady_daemons(now);
+        self.release_reservations(now);
         if self.jobs.is_empty() || self.machine_types.is_empty() {
             return;
         }
         let mut snapshot = self.scheduling_snapshot(now);
         self.update_min_tasks(&snapshot);
         self.last_round.unplaced.clear();
+        self.last_round.quota_reservations.clear();
         self.last_round.reserved_machines.clear();
         if snapshot.cluster.jobs.iter().any(|job| job.startable > 0) {
             self.place_startable_tasks(&mut snapshot, now);
@@ -115,16 +117,17 @@
     /// Stops tasks of lower priority for jobs without room, and reserves their machines.
     fn preempt_for_unplaced_tasks(&mut self, snapshot: &SchedulingSnapshot, now: MonotonicTime) {
         let until = now + constants::PREEMPTED_MACHINE_RESERVATION;
-        for preemption in preempt(&snapshot.cluster) {
+        let preemptions = preempt(&snapshot.cluster);
+        for preemption in &preemptions {
             let job = snapshot.job_keys[preemption.job];
             for machine in &preemption.machines {
                 if let Some(machine) = self.machines.get_mut(&snapshot.machine_names[*machine]) {
-                    machine.reserved_for_gang = Some(GangReservation { job, until });
+                    machine.reservation = Some(MachineReservation { job, until });
                 }
             }
-            for Victim { machine, task } in preemption.victims {
-                let name = &snapshot.machine_names[machine];
-                self.preempt_task(name, task as usize, job, now);
+            for Victim { machine, task } in &preemption.victims {
+                let name = &snapshot.machine_names[*machine];
+                self.preempt_task(name, *task as usize, job, now);
             }
         }
     }
--- a/crates/controller/src/cluster_state/snapshot.rs
+++ b/crates/controller/src/cluster_state/snapshot.rs
@@ -192,15 +192,14 @@
             free,
             price: self.machine_types[machine_type].price(PurchaseOption::from_spot(machine.spot)),
             images: machine.images.iter().map(|cached| cached.image).collect(),
-            schedulable: machine.has_reported
-                && !closed
-                && now < machine.last_response_at + self.missed_heartbeat()
+            schedulable: !closed
+                && self.reports(machine, now)
                 && now >= machine.backoff_until
                 && machine.is_admitted(now),
             booting: !machine.has_reported && !closed,
             excluded_by,
             reserved_for: machine
-                .reserved_for_gang
+                .reservation
                 .map(|r| job_indexes.get(&r.job).copied().unwrap_or(usize::MAX)),
             placed_tasks,
         })
--- a/crates/controller/src/cluster_state/task_end.rs
+++ b/crates/controller/src/cluster_state/task_end.rs
@@ -83,7 +83,7 @@
                 job.replica_completed(name, placed.running_since, placed.placed_at, now);
             }
             ExitCause::InsufficientResources | ExitCause::AttemptConflict => {
-                machine.backoff_until = now + constants::REJECTED_START_BACKOFF;
+                machine.back_off(now + constants::REJECTED_START_BACKOFF);
             }
             ExitCause::UnknownJob => job.backoff_until = now + constants::FAILURE_BACKOFF,
             _ => {}
--- a/crates/controller/tests/cluster_state/reservations.rs
+++ b/crates/controller/tests/cluster_state/reservations.rs
@@ -55,12 +55,15 @@
 
 #[test]
 fn job_whose_cleared_machine_takes_no_tasks_preempts_elsewhere() {
-    let (mut harness, mut workers, cleared) = preempting_job(urgent("daemon"));
-    // The worker rejects a start, so the machine gets no new task for 3 s.
-    let task = workers[cleared].unfinished_tasks().remove(0);
-    workers[cleared].end_task(&task, ExitCause::InsufficientResources);
+    let (mut harness, mut workers) = full_machines();
+    harness.submit(JobSpec { cpus: 4.0, ..urgent("daemon") });
+    harness.advance(500);
+    // The stops on m-1 are decided. Its worker rejects a start, so it gets no new task for 3 s.
+    let task = workers[0].unfinished_tasks().remove(0);
+    workers[0].end_task(&task, ExitCause::InsufficientResources);
     run(&mut harness, &mut workers, 5);
-    assert_eq!(running(&workers[1 - cleared], "req-000002"), 1, "it does not wait for the machine");
+    assert_eq!(running(&workers[0], "req-000001"), 0, "m-1 was cleared");
+    assert_eq!(running(&workers[1], "req-000002"), 1, "the job does not wait for m-1");
 }
 
 #[test]
--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -40,34 +40,35 @@
     range.map_or(default, |(from, to)| number(from)..number(to))
 }
 
-fn scenario(kind: FaultScenario) -> EventCounts {
-    let days: Vec<EventCounts> =
-        seeds(12).map(|seed| run_seed(seed, Simulation::with_scenario(kind, seed))).collect();
+fn scenario(kind: FaultScenario, default_days: u64) -> EventCounts {
+    let days: Vec<EventCounts> = seeds(default_days)
+        .map(|seed| run_seed(seed, Simulation::with_scenario(kind, seed)))
+        .collect();
     days.iter().fold(EventCounts::default(), EventCounts::and)
 }
 
 /// Cancellations are confirmed while the state service refuses the leader: `check_cancelled` must hold.
 #[test]
 fn tasks_cancelled_while_leader_is_refused_are_removed_within_limit() {
-    let totals = scenario(FaultScenario::LeaderRefused);
+    let totals = scenario(FaultScenario::LeaderRefused, 24);
     println!("{totals:?}");
-    assert!(totals.cancelled_without_leader > 20 && totals.lessee_extensions > 50, "{totals:?}");
+    assert!(totals.cancelled_without_leader > 40 && totals.lessee_extensions > 100, "{totals:?}");
     assert!(
-        totals.stopped_by_lessees > 20,
+        totals.stopped_by_lessees > 40,
         "the old leader stops tasks as a shard lessee: {totals:?}"
     );
 }
 
 #[test]
 fn tasks_cancelled_while_leader_is_isolated_are_removed_within_limit() {
-    let totals = scenario(FaultScenario::LeaderIsolated);
+    let totals = scenario(FaultScenario::LeaderIsolated, 12);
     println!("{totals:?}");
     assert!(totals.cancelled_without_leader > 20 && totals.lessee_extensions > 50, "{totals:?}");
 }
 
 #[test]
 fn cancelled_tasks_in_partitioned_leader_zone_are_removed_within_limit() {
-    let totals = scenario(FaultScenario::LeaderZonePartitioned);
+    let totals = scenario(FaultScenario::LeaderZonePartitioned, 12);
     println!("{totals:?}");
     assert!(totals.cancelled_without_leader > 20 && totals.lessee_extensions > 50, "{totals:?}");
 }
@@ -75,7 +76,7 @@
 /// While a task of a cancelled job may run, shard leases expire within the cancellation limit.
 #[test]
 fn cancelled_tasks_reachable_only_by_shard_lessee_are_removed_within_limit() {
-    let totals = scenario(FaultScenario::OnlyLesseeReachable);
+    let totals = scenario(FaultScenario::OnlyLesseeReachable, 12);
     println!("{totals:?}");
     assert!(totals.cancelled > 50, "{totals:?}");
 }
--- a/crates/policy/src/preemption.rs
+++ b/crates/policy/src/preemption.rs
@@ -6,7 +6,7 @@
 mod victims;
 
 use crate::scheduling_queue::{awaits_first_start, first_start_order};
-use crate::{ClusterSnapshot, JobView, TeamView};
+use crate::{ClusterSnapshot, JobView, MachineView, TeamView};
 use deadlines::preempt_for_deadlines;
 use hookway_constants as constants;
 use hookway_time::millis_f64;
@@ -101,11 +101,14 @@
     let job = &cluster.jobs[index];
     let not_started = if job.gang { job.startable == job.tasks } else { awaits_first_start(job) };
     let waited_s = cluster.now - job.waiting_since;
+    // A machine that was cleared for the job but takes no tasks now is nothing to wait for.
+    let is_cleared_for =
+        |machine: &MachineView| machine.reserved_for == Some(index) && machine.schedulable;
     job.startable > 0
         && !job.crash_looping
         && not_started
         && waited_s >= millis_f64(constants::PREEMPT_AFTER) / 1000.0
-        && cluster.machines.iter().all(|machine| machine.reserved_for != Some(index))
+        && !cluster.machines.iter().any(is_cleared_for)
 }
 
 /// Whether a gang should rather preempt tasks on machines that hold its image than wait for a fetch that costs
