Relocation: replicas that can run elsewhere move so that a job finds the room that only they hold

A daemon that must spread waited from 202.6 s to the end: the only machine of zone a was full of replicas of two other daemons, the cloud was at its limit with seven machines in zone b, and those ran tasks of lower priority that the replicas could have preempted. Cause: a job preempts lower priorities only, and a replica never ends by itself; nothing moved one. The leader (`cluster_state/relocation.rs`) clears the targets of lower priorities first, holds the room at both ends and the replica's part of its team's limit, and only then stops replicas, one of a daemon at a time and eight in all. The room goes to the job, the replica to its target. A relocation ends with its reason. Placement, preemption and the order of the queue stay as they were; nothing is computed unless a gang or daemon waits.

--- a/crates/constants/src/preemption.rs
+++ b/crates/constants/src/preemption.rs
@@ -1,4 +1,4 @@
-//! Preemption and reservations for gangs.
+//! Preemption, relocation and reservations.
 
 use std::time::Duration;
 
@@ -31,3 +31,12 @@
 /// How long the machines of preempted tasks stay reserved for the job that they were stopped for: as
 /// long as a stop may take before it is repeated.
 pub const PREEMPTED_MACHINE_RESERVATION: Duration = super::STOP_TIMEOUT;
+/// How long a job waits before replicas of daemons are moved for it: as long as a stop takes to show, so that tasks
+/// which are ending already are not taken for an obstacle.
+pub const RELOCATE_AFTER: Duration = Duration::from_millis(3_000);
+/// Replicas that may be on the move at a time. Each is away for a stop and a start; if the leader ends meanwhile, its
+/// successor has to place as many at once, which one round of direct dispatches does.
+pub const MAX_REPLICAS_MOVING: usize = 8;
+/// How long a step of a relocation may take, to clear the machine that a replica goes to or to stop the replica: as long
+/// as a stop may take before it is repeated.
+pub const RELOCATION_STEP_TIMEOUT: Duration = super::STOP_TIMEOUT;
--- a/crates/controller/src/cluster_state/machine_fill.rs
+++ b/crates/controller/src/cluster_state/machine_fill.rs
@@ -67,7 +67,7 @@
             self.machine_types.iter().position(|t| t.name == machine.machine_type)?;
         let zone = self.config.platform.zone(&machine.zone)?;
         let total = Resources::of_machine_type(&self.machine_types[machine_type]);
-        let FreeResources { free, has_unknown_tasks } = self.free_resources(machine, total);
+        let FreeResources { free, has_unknown_tasks } = self.free_resources(name, machine, total);
         (!has_unknown_tasks).then(|| FillTarget {
             name,
             machine_type,
--- a/crates/controller/src/cluster_state/mod.rs
+++ b/crates/controller/src/cluster_state/mod.rs
@@ -40,6 +40,7 @@
 mod progress;
 mod reconciliation;
 mod recovery;
+mod relocation;
 mod reservation;
 mod run_times;
 mod scale_in;
@@ -89,6 +90,7 @@
 use machine::{CachedImage, CordonReason, Machine, MessageVersion};
 use placed_task::{EndedTask, ExpectedHeartbeat, PlacedTask, StopOrder, TaskAttempt, TaskPhase};
 use reconciliation::Reconciliation;
+use relocation::Relocation;
 use reservation::MachineReservation;
 use scale_out::ScaleOutState;
 use scheduling_round::LastRound;
@@ -137,6 +139,8 @@
     unproven_cancellations: BTreeSet<JobKey>,
     /// What the last scheduling round left for heartbeats.
     last_round: LastRound,
+    /// Replicas that move so that other jobs find room.
+    relocations: Vec<Relocation>,
     scale_outs: ScaleOutState,
     /// Machines whose deletion is requested.
     scaling_in: HashSet<String>,
@@ -182,6 +186,7 @@
             completed_jobs: Vec::new(),
             unproven_cancellations: BTreeSet::new(),
             last_round: LastRound::default(),
+            relocations: Vec::new(),
             scale_outs: ScaleOutState::default(),
             scaling_in: HashSet::new(),
             direct_dispatch: DirectDispatch::default(),
--- a/crates/controller/src/cluster_state/scheduling_round.rs
+++ b/crates/controller/src/cluster_state/scheduling_round.rs
@@ -61,6 +61,7 @@
         self.restart_stuck_tasks(now);
         self.reset_steady_daemons(now);
         self.release_reservations(now);
+        self.advance_relocations(now);
         if self.jobs.is_empty() || self.machine_types.is_empty() {
             return;
         }
@@ -114,7 +115,8 @@
         }
     }
 
-    /// Stops tasks of lower priority for jobs without room, and reserves their machines.
+    /// Stops tasks of lower priority for jobs without room, and reserves their machines. Where that is not enough,
+    /// replicas begin to move.
     fn preempt_for_unplaced_tasks(&mut self, snapshot: &SchedulingSnapshot, now: MonotonicTime) {
         let until = now + constants::PREEMPTED_MACHINE_RESERVATION;
         let preemptions = preempt(&snapshot.cluster);
@@ -130,5 +132,6 @@
                 self.preempt_task(name, *task as usize, job, now);
             }
         }
+        self.begin_relocations(snapshot, &preemptions, now);
     }
 }
--- a/crates/controller/src/cluster_state/snapshot.rs
+++ b/crates/controller/src/cluster_state/snapshot.rs
@@ -23,16 +23,22 @@
 
 /// What placed tasks leave of a machine.
 pub(super) struct FreeResources {
-    /// Resources that no task of a known job takes.
+    /// Resources that no task of a known job takes, and that are held for none.
     pub free: Resources,
     /// Some task belongs to no known job: what it takes is not known.
     pub has_unknown_tasks: bool,
 }
 
 impl ClusterState {
-    /// What placed tasks leave of a machine's `total` resources.
-    pub(super) fn free_resources(&self, machine: &Machine, total: Resources) -> FreeResources {
+    /// What placed tasks, and those that room is held for, leave of a machine's `total` resources.
+    pub(super) fn free_resources(
+        &self,
+        name: &str,
+        machine: &Machine,
+        total: Resources,
+    ) -> FreeResources {
         let mut free = total;
+        free.subtract(&self.resources_held_on(name));
         let mut has_unknown_tasks = false;
         for placed in &machine.placed_tasks {
             match placed.job.and_then(|key| self.jobs.get(&key)) {
@@ -107,6 +113,11 @@
                 team.used.add(&job.request.times(job.placed));
             }
         }
+        for (team, request) in self.quota_of_moving_replicas() {
+            if let Some(team) = teams.get_mut(team) {
+                team.used.add(&request);
+            }
+        }
         teams
     }
 
@@ -167,7 +178,7 @@
             self.machine_types.iter().position(|t| t.name == machine.machine_type)?;
         let zone = self.config.platform.zone(&machine.zone)?;
         let total = Resources::of_machine_type(&self.machine_types[machine_type]);
-        let FreeResources { free, has_unknown_tasks } = self.free_resources(machine, total);
+        let FreeResources { free, has_unknown_tasks } = self.free_resources(name, machine, total);
         let closed = machine.is_draining() || has_unknown_tasks;
         let placed_tasks = machine
             .placed_tasks
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,15 +1,16 @@
 //! The scheduling policy of hookway, as pure functions: the minimum task count of a job, the scheduling queue,
-//! placement (bin packing), preemption, and how many machines the fleet should have.
+//! placement (bin packing), preemption, relocation of replicas, and how many machines the fleet should have.
 //!
 //! Nothing here reads a clock or does I/O. Times are seconds since an origin that the caller chooses; machines, jobs,
 //! zones, teams and machine types are named by their index in the [`ClusterSnapshot`] that the caller hands over.
-//! Begin with [`place`], which runs a scheduling round, [`preempt`] and [`plan_scaling`].
+//! Begin with [`place`], which runs a scheduling round, [`preempt`], [`relocate`] and [`plan_scaling`].
 
 mod autoscaling;
 mod feasibility;
 mod min_tasks;
 mod placement;
 mod preemption;
+mod relocation;
 mod resources;
 mod scheduling_queue;
 mod snapshot;
@@ -21,6 +22,7 @@
 pub use min_tasks::{desired_tasks, min_tasks, min_tasks_need_rewrite};
 pub use placement::{Placement, QuotaReservation, RoundOutcome, place};
 pub use preemption::{Preemption, Victim, preempt};
+pub use relocation::{Relocation, RelocationLimits, ReplicaMove, relocate};
 pub use resources::Resources;
 pub use scheduling_queue::{QueueEntry, scheduling_queue};
 pub use snapshot::{ClusterSnapshot, JobView, MachineView, PlacedTaskView, Quota, TeamView};
--- a/crates/policy/src/preemption.rs
+++ b/crates/policy/src/preemption.rs
@@ -11,7 +11,8 @@
 use hookway_constants as constants;
 use hookway_time::millis_f64;
 use quota::preempt_for_quota;
-use search::{ImageLocality, PricedPreemption, find_preemption};
+pub(crate) use search::{ImageLocality, PricedPreemption, SearchScope, find_preemption};
+pub(crate) use victims::{Displaceable, may_preempt, victims_on_machine};
 
 /// A task to stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,7 +98,7 @@
 }
 
 /// Whether a job has waited long enough for its first start, and no machines are reserved for it already.
-fn waits_for_preemption(cluster: &ClusterSnapshot, index: usize) -> bool {
+pub(crate) fn waits_for_preemption(cluster: &ClusterSnapshot, index: usize) -> bool {
     let job = &cluster.jobs[index];
     let not_started = if job.gang { job.startable == job.tasks } else { awaits_first_start(job) };
     let waited_s = cluster.now - job.waiting_since;
@@ -120,7 +121,8 @@
 ) -> bool {
     let taken = vec![false; cluster.machines.len()];
     let tasks = cluster.jobs[job_index].startable;
-    let found = find_preemption(cluster, job_index, tasks, &taken, ImageLocality::Cached);
+    let scope = SearchScope { locality: ImageLocality::Cached, ..SearchScope::preemption(&taken) };
+    let found = find_preemption(cluster, job_index, tasks, scope);
     found.is_some_and(|found| !found.preemption.victims.is_empty() && found.cost < fetch_cost)
 }
 
@@ -133,11 +135,13 @@
     taken: &[bool],
 ) -> Option<Preemption> {
     let job = &cluster.jobs[job_index];
-    let anywhere = find_preemption(cluster, job_index, tasks, taken, ImageLocality::Any);
+    let scope = SearchScope::preemption(taken);
+    let anywhere = find_preemption(cluster, job_index, tasks, scope);
     if !job.gang {
         return anywhere.map(|found| found.preemption);
     }
-    let cached = find_preemption(cluster, job_index, tasks, taken, ImageLocality::Cached);
+    let cached_only = SearchScope { locality: ImageLocality::Cached, ..scope };
+    let cached = find_preemption(cluster, job_index, tasks, cached_only);
     let gang_cpus = job.request.cpus * f64::from(tasks);
     let cost_with_fetch = |found: &PricedPreemption| {
         let machines = found.preemption.machines.iter();
--- a/crates/policy/src/preemption/search.rs
+++ b/crates/policy/src/preemption/search.rs
@@ -1,41 +1,60 @@
 //! The cheapest set of machines to clear for a job.
 
-use super::victims::{MachineVictims, victims_on_machine};
+use super::victims::{Displaceable, MachineVictims, victims_on_machine};
 use super::{Preemption, Victim};
 use crate::{ClusterSnapshot, JobView};
 
 /// Which machines a search considers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum ImageLocality {
+pub(crate) enum ImageLocality {
     /// All machines.
     Any,
     /// Machines that hold the job's image.
     Cached,
 }
 
+/// What a search considers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SearchScope<'a> {
+    /// Per machine: it is taken for another job.
+    pub taken: &'a [bool],
+    /// Which machines.
+    pub locality: ImageLocality,
+    /// Which tasks may have to leave them.
+    pub displaceable: Displaceable<'a>,
+}
+
+impl<'a> SearchScope<'a> {
+    /// Preemption on all machines that are not taken.
+    pub fn preemption(taken: &'a [bool]) -> Self {
+        Self { taken, locality: ImageLocality::Any, displaceable: Displaceable::Preemptible }
+    }
+}
+
 /// A preemption with its cost.
 #[derive(Debug, Clone, PartialEq)]
-pub(super) struct PricedPreemption {
+pub(crate) struct PricedPreemption {
     /// Lost work and waiting time, CPU seconds.
     pub cost: f64,
     pub preemption: Preemption,
+    /// The machine of each task, by index.
+    pub task_machines: Vec<usize>,
 }
 
-/// The cheapest preemption that frees resources for `tasks` tasks of a job, on machines that are not `taken` for
-/// another one. A job that must be in one zone gets the cheapest zone.
-pub(super) fn find_preemption(
+/// The cheapest preemption that frees resources for `tasks` tasks of a job, within a scope. A job that must be in one
+/// zone gets the cheapest zone.
+pub(crate) fn find_preemption(
     cluster: &ClusterSnapshot,
     job_index: usize,
     tasks: u32,
-    taken: &[bool],
-    locality: ImageLocality,
+    scope: SearchScope<'_>,
 ) -> Option<PricedPreemption> {
     let job = &cluster.jobs[job_index];
     let zones: Vec<Option<usize>> =
         if job.one_zone { (0..job.placed_per_zone.len()).map(Some).collect() } else { vec![None] };
     let mut cheapest: Option<PricedPreemption> = None;
     for zone in zones {
-        let search = Search::new(cluster, job_index, tasks, taken, locality, zone);
+        let search = Search::new(cluster, job_index, tasks, scope, zone);
         let Some(found) = search.run() else { continue };
         if cheapest.as_ref().is_none_or(|best| found.cost < best.cost) {
             cheapest = Some(found);
@@ -55,8 +74,7 @@
     cluster: &'a ClusterSnapshot,
     job: &'a JobView,
     job_index: usize,
-    taken: &'a [bool],
-    locality: ImageLocality,
+    scope: SearchScope<'a>,
     zone: Option<usize>,
     /// Tasks planned per machine.
     planned: Vec<u32>,
@@ -72,8 +90,7 @@
         cluster: &'a ClusterSnapshot,
         job_index: usize,
         tasks: u32,
-        taken: &'a [bool],
-        locality: ImageLocality,
+        scope: SearchScope<'a>,
         zone: Option<usize>,
     ) -> Self {
         let job = &cluster.jobs[job_index];
@@ -81,8 +98,7 @@
             cluster,
             job,
             job_index,
-            taken,
-            locality,
+            scope,
             zone,
             planned: vec![0; cluster.machines.len()],
             tasks_per_zone: job.placed_per_zone.clone(),
@@ -93,9 +109,11 @@
     }
 
     fn run(mut self) -> Option<PricedPreemption> {
-        // One pass clears machines for one task each; only replicas of a daemon may need further ones on the same
-        // machine.
-        let passes = if self.job.daemon { self.tasks_left } else { 1 };
+        // One pass clears machines for one task each; replicas of a daemon may need further ones on the same
+        // machine, and so may a gang for which replicas move, since it has nothing else.
+        let moves_replicas =
+            matches!(self.scope.displaceable, Displaceable::PreemptibleOrMovable(_));
+        let passes = if self.job.daemon || moves_replicas { self.tasks_left } else { 1 };
         for _ in 0..passes {
             let tasks_before = self.tasks_left;
             for candidate in self.candidates() {
@@ -108,8 +126,14 @@
                 break;
             }
         }
-        let found = PricedPreemption { cost: self.cost, preemption: self.preemption };
-        (self.tasks_left == 0).then_some(found)
+        if self.tasks_left > 0 {
+            return None;
+        }
+        let planned = self.planned.iter().enumerate();
+        let task_machines = planned
+            .flat_map(|(index, tasks)| std::iter::repeat_n(index, *tasks as usize))
+            .collect();
+        Some(PricedPreemption { cost: self.cost, preemption: self.preemption, task_machines })
     }
 
     /// Machines that could take one task more than planned, cheapest first.
@@ -117,9 +141,10 @@
         let mut candidates: Vec<Candidate> = (0..self.cluster.machines.len())
             .filter(|index| self.is_candidate(*index))
             .filter_map(|index| {
-                let machine = &self.cluster.machines[index];
                 let tasks = self.planned[index] + 1;
-                let victims = victims_on_machine(self.cluster, self.job_index, machine, tasks)?;
+                let displaceable = self.scope.displaceable;
+                let victims =
+                    victims_on_machine(self.cluster, self.job_index, index, tasks, displaceable)?;
                 Some(Candidate { machine: index, victims })
             })
             .collect();
@@ -132,13 +157,13 @@
     fn is_candidate(&self, index: usize) -> bool {
         let machine = &self.cluster.machines[index];
         let has_image = || self.cluster.fetch_time(self.job, machine) <= 0.0;
-        !self.taken[index]
+        !self.scope.taken[index]
             && machine.schedulable
             && !machine.booting
             && machine.eligible_for(self.job_index, self.job)
             && self.zone.is_none_or(|zone| zone == machine.zone)
             && machine.total.fits(&self.job.request.times(self.planned[index] + 1))
-            && (self.locality == ImageLocality::Any || has_image())
+            && (self.scope.locality == ImageLocality::Any || has_image())
     }
 
     fn choose(&mut self, candidate: Candidate) {
--- a/crates/policy/src/preemption/victims.rs
+++ b/crates/policy/src/preemption/victims.rs
@@ -1,6 +1,7 @@
 //! Which tasks may be preempted on one machine, and what it costs.
 
-use crate::{ClusterSnapshot, MachineView, PlacedTaskView};
+use crate::relocation::MovableReplicas;
+use crate::{ClusterSnapshot, PlacedTaskView};
 use hookway_constants as constants;
 
 /// Work that a checkpointing task loses at most, s: what it has done since its last checkpoint.
@@ -9,9 +10,38 @@
 /// Smallest number of CPUs in the cost of a victim, so that a task without CPUs is not free.
 const MIN_VICTIM_CPUS: f64 = 0.1;
 
+/// Which tasks may leave a machine for a job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Displaceable<'a> {
+    /// Those that the job may preempt.
+    Preemptible,
+    /// Those, and replicas that have room on other machines.
+    PreemptibleOrMovable(&'a MovableReplicas),
+}
+
+impl Displaceable<'_> {
+    /// Whether a task may leave its machine for a job.
+    fn includes(
+        self,
+        cluster: &ClusterSnapshot,
+        job_index: usize,
+        machine_index: usize,
+        task: &PlacedTaskView,
+    ) -> bool {
+        let machine = &cluster.machines[machine_index];
+        may_preempt(cluster, job_index, task)
+            || match self {
+                Self::Preemptible => false,
+                Self::PreemptibleOrMovable(movable) => {
+                    movable.includes(task, machine, machine_index)
+                }
+            }
+    }
+}
+
 /// The tasks of one machine to preempt for a job.
 #[derive(Debug, Clone, PartialEq)]
-pub(super) struct MachineVictims {
+pub(crate) struct MachineVictims {
     /// Lost work and waiting time, CPU seconds.
     pub cost: f64,
     /// Their `id`s in [`PlacedTaskView`].
@@ -36,7 +66,11 @@
 
 /// Whether a job may preempt a task: because its priority is higher, or because its team's guarantee covers it and the
 /// other team exceeds its own.
-fn may_preempt(cluster: &ClusterSnapshot, job_index: usize, task: &PlacedTaskView) -> bool {
+pub(crate) fn may_preempt(
+    cluster: &ClusterSnapshot,
+    job_index: usize,
+    task: &PlacedTaskView,
+) -> bool {
     let (job, victim) = (&cluster.jobs[job_index], &cluster.jobs[task.job]);
     if victim.priority < job.priority {
         return true;
@@ -52,6 +86,8 @@
 
 /// A task that could be stopped.
 struct Candidate<'a> {
+    /// It moves to another machine. Such tasks leave only where preemption is not enough.
+    moves: bool,
     /// Work lost by stopping it, CPU seconds.
     lost_work: f64,
     task: &'a PlacedTaskView,
@@ -59,27 +95,34 @@
 
 /// Tasks to stop on a machine so that `tasks` tasks of a job fit there, those that lose least work first; `None` if
 /// stopping all that may be stopped is not enough.
-pub(super) fn victims_on_machine(
+pub(crate) fn victims_on_machine(
     cluster: &ClusterSnapshot,
     job_index: usize,
-    machine: &MachineView,
+    machine_index: usize,
     tasks: u32,
+    displaceable: Displaceable<'_>,
 ) -> Option<MachineVictims> {
-    let job = &cluster.jobs[job_index];
+    let (job, machine) = (&cluster.jobs[job_index], &cluster.machines[machine_index]);
     let request = job.request.times(tasks);
     let mut free = machine.free_after_terminations();
     let mut candidates: Vec<Candidate> = machine
         .placed_tasks
         .iter()
-        .filter(|task| !task.terminating && may_preempt(cluster, job_index, task))
-        .map(|task| Candidate { lost_work: lost_work(cluster, task), task })
+        .filter(|task| {
+            !task.terminating && displaceable.includes(cluster, job_index, machine_index, task)
+        })
+        .map(|task| Candidate {
+            moves: !may_preempt(cluster, job_index, task),
+            lost_work: lost_work(cluster, task),
+            task,
+        })
         .collect();
-    candidates.sort_by(|a, b| a.lost_work.total_cmp(&b.lost_work));
+    candidates.sort_by(|a, b| a.moves.cmp(&b.moves).then(a.lost_work.total_cmp(&b.lost_work)));
     // A machine without the image delays the job by the fetch.
     let mut cost = cluster.fetch_time(job, machine) * request.cpus;
     let mut victims = Vec::new();
     let mut longest_stop: f64 = 0.0;
-    for Candidate { lost_work, task } in candidates {
+    for Candidate { lost_work, task, .. } in candidates {
         if free.fits(&request) {
             break;
         }
--- /dev/null
+++ b/crates/policy/src/relocation.rs
@@ -0,0 +1,343 @@
+//! Relocation (descheduling): replicas of daemons that move to other machines, so that a job finds room that only they
+//! hold. A replica neither ends by itself nor is preempted by a job of the same priority, so a job that is bound to
+//! its machine's zone would wait for ever although the replica could run elsewhere.
+
+use crate::preemption::{
+    Displaceable, ImageLocality, SearchScope, find_preemption, may_preempt, victims_on_machine,
+    waits_for_preemption,
+};
+use crate::scheduling_queue::first_start_order;
+use crate::{ClusterSnapshot, JobView, MachineView, PlacedTaskView, Preemption, Resources, Victim};
+use hookway_constants as constants;
+use hookway_time::millis_f64;
+use std::collections::{HashMap, HashSet};
+
+/// A replica that moves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaMove {
+    /// Index of its job.
+    pub job: usize,
+    /// The replica, where it is now.
+    pub replica: Victim,
+    /// Index of the machine that it goes to.
+    pub target: usize,
+    /// Tasks of lower priority to stop on the target for it.
+    pub victims: Vec<Victim>,
+}
+
+/// Replicas that move so that a job finds room.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relocation {
+    /// Index of the job that gets the room.
+    pub job: usize,
+    /// The machine of each of its tasks, by index.
+    pub task_machines: Vec<usize>,
+    /// Tasks of lower priority to stop on these machines.
+    pub victims: Vec<Victim>,
+    /// The replicas that move away from these machines.
+    pub moves: Vec<ReplicaMove>,
+}
+
+/// Which jobs a relocation may not begin with, and how much it may move.
+#[derive(Debug, Clone, Default)]
+pub struct RelocationLimits {
+    /// Jobs that get room already or of which a replica is moving, by index.
+    pub busy_jobs: HashSet<usize>,
+    /// Maximum number of replicas that begin to move.
+    pub max_moves: usize,
+}
+
+/// Plans relocations for gangs and daemons that neither found resources nor can preempt any. `preemptions` are those of
+/// the same round: their machines and jobs are left alone. Every replica that moves has a machine to go to, which has
+/// room for it or is cleared of lower priorities first; so each relocation ends with fewer waiting tasks than it began
+/// with, and a sequence of them ends.
+pub fn relocate(
+    cluster: &ClusterSnapshot,
+    preemptions: &[Preemption],
+    limits: RelocationLimits,
+) -> Vec<Relocation> {
+    let RelocationLimits { mut busy_jobs, mut max_moves } = limits;
+    busy_jobs.extend(preemptions.iter().map(|preemption| preemption.job));
+    let mut waiting = waiting_jobs(cluster, &busy_jobs);
+    waiting.sort_by(|a, b| first_start_order(&cluster.jobs[*a], &cluster.jobs[*b], cluster.now));
+    let mut taken = vec![false; cluster.machines.len()];
+    for machine in preemptions.iter().flat_map(|preemption| &preemption.machines) {
+        taken[*machine] = true;
+    }
+    let mut relocations = Vec::new();
+    for job in waiting {
+        let Some(relocation) = relocate_for(cluster, job, &taken, &busy_jobs) else { continue };
+        if relocation.moves.len() > max_moves {
+            continue;
+        }
+        max_moves -= relocation.moves.len();
+        busy_jobs.insert(job);
+        busy_jobs.extend(relocation.moves.iter().map(|replica_move| replica_move.job));
+        let targets = relocation.moves.iter().map(|replica_move| replica_move.target);
+        for machine in relocation.task_machines.iter().copied().chain(targets) {
+            taken[machine] = true;
+        }
+        relocations.push(relocation);
+    }
+    relocations
+}
+
+/// Gangs and daemons that have waited for long enough.
+fn waiting_jobs(cluster: &ClusterSnapshot, busy_jobs: &HashSet<usize>) -> Vec<usize> {
+    let delay_s = millis_f64(constants::RELOCATE_AFTER) / 1000.0;
+    let waits = |index: &usize| {
+        let job = &cluster.jobs[*index];
+        job.needs_all_tasks_at_once()
+            && job.startable > 0
+            && cluster.now - job.waiting_since >= delay_s
+            && !busy_jobs.contains(index)
+            && waits_for_preemption(cluster, *index)
+    };
+    (0..cluster.jobs.len()).filter(waits).collect()
+}
+
+/// Plans the relocation for one job: all tasks of a gang, or one replica of a daemon.
+fn relocate_for(
+    cluster: &ClusterSnapshot,
+    job_index: usize,
+    taken: &[bool],
+    busy_jobs: &HashSet<usize>,
+) -> Option<Relocation> {
+    let job = &cluster.jobs[job_index];
+    let tasks = if job.gang { job.startable } else { 1 };
+    let team = cluster.teams.get(job.team);
+    if team.is_some_and(|team| team.remaining_tasks(&job.request) < tasks) {
+        return None;
+    }
+    let movable = MovableReplicas::find(cluster, job_index, taken, busy_jobs);
+    let preemption = SearchScope::preemption(taken);
+    if movable.is_empty() || find_preemption(cluster, job_index, tasks, preemption).is_some() {
+        return None;
+    }
+    let scope = SearchScope {
+        taken,
+        locality: ImageLocality::Any,
+        displaceable: Displaceable::PreemptibleOrMovable(&movable),
+    };
+    let found = find_preemption(cluster, job_index, tasks, scope)?;
+    let mut planner = MovePlanner::new(cluster, taken, &found.task_machines);
+    let mut victims = Vec::new();
+    for victim in found.preemption.victims {
+        let placed = placed_task(cluster, &victim)?;
+        if may_preempt(cluster, job_index, placed) {
+            victims.push(victim);
+        } else {
+            planner.add(victim, placed.job)?;
+        }
+    }
+    let task_machines = found.task_machines;
+    Some(Relocation { job: job_index, task_machines, victims, moves: planner.moves })
+}
+
+fn placed_task<'a>(cluster: &'a ClusterSnapshot, victim: &Victim) -> Option<&'a PlacedTaskView> {
+    let machine = &cluster.machines[victim.machine];
+    machine.placed_tasks.iter().find(|placed| placed.id == victim.task)
+}
+
+/// A job without one of its replicas, which is in `zone`.
+fn without_replica(job: &JobView, zone: usize) -> JobView {
+    let mut job = job.clone();
+    job.placed = job.placed.saturating_sub(1);
+    if let Some(placed) = job.placed_per_zone.get_mut(zone) {
+        *placed = placed.saturating_sub(1);
+    }
+    job
+}
+
+/// How a machine can take a replica.
+enum TargetRoom {
+    /// It has room.
+    Free,
+    /// Once these tasks of lower priority are gone.
+    AfterPreemption(Vec<u64>),
+}
+
+/// How machine `index`, with so much `free`, can take a replica of `job`, which has left its place; `None` if it can't.
+fn target_room(
+    cluster: &ClusterSnapshot,
+    job_index: usize,
+    job: &JobView,
+    index: usize,
+    free: &Resources,
+) -> Option<TargetRoom> {
+    let machine = &cluster.machines[index];
+    let usable = machine.schedulable
+        && !machine.booting
+        && machine.eligible_for(job_index, job)
+        && job.may_use_zone(machine.zone);
+    if !usable {
+        return None;
+    }
+    if free.fits(&job.request) {
+        return Some(TargetRoom::Free);
+    }
+    let victims = victims_on_machine(cluster, job_index, index, 1, Displaceable::Preemptible)?;
+    // Without a task to stop, the room is there but other replicas go to it.
+    (!victims.tasks.is_empty()).then_some(TargetRoom::AfterPreemption(victims.tasks))
+}
+
+/// Replicas of a job in one zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct ReplicaGroup {
+    job: usize,
+    zone: usize,
+}
+
+/// Machines that could take one replica of a group: up to two, so that there is one beside the replica's own.
+type Targets = [Option<usize>; 2];
+
+/// The replicas that a job can't preempt, and that could run on another machine.
+#[derive(Debug, Default)]
+pub(crate) struct MovableReplicas {
+    targets: HashMap<ReplicaGroup, Targets>,
+}
+
+impl MovableReplicas {
+    /// Replicas on machines that the job may use, of its own priority at most. A daemon of which a replica is missing
+    /// gives none away.
+    fn find(
+        cluster: &ClusterSnapshot,
+        job_index: usize,
+        taken: &[bool],
+        busy_jobs: &HashSet<usize>,
+    ) -> Self {
+        let job = &cluster.jobs[job_index];
+        let mut movable = Self::default();
+        for (index, machine) in cluster.machines.iter().enumerate() {
+            let usable =
+                machine.schedulable && !taken[index] && machine.eligible_for(job_index, job);
+            if !usable || !job.may_use_zone(machine.zone) {
+                continue;
+            }
+            for task in &machine.placed_tasks {
+                let other = &cluster.jobs[task.job];
+                let complete_daemon = other.daemon && other.placed >= other.tasks;
+                if task.job != job_index
+                    && complete_daemon
+                    && other.priority <= job.priority
+                    && !busy_jobs.contains(&task.job)
+                {
+                    let group = ReplicaGroup { job: task.job, zone: machine.zone };
+                    let targets = movable.targets.entry(group);
+                    targets.or_insert_with(|| find_targets(cluster, group, taken));
+                }
+            }
+        }
+        movable
+    }
+
+    fn is_empty(&self) -> bool {
+        self.targets.values().all(|targets| targets[0].is_none())
+    }
+
+    /// Whether a task of machine `index` is a replica that could run on another machine.
+    pub(crate) fn includes(
+        &self,
+        task: &PlacedTaskView,
+        machine: &MachineView,
+        index: usize,
+    ) -> bool {
+        let group = ReplicaGroup { job: task.job, zone: machine.zone };
+        let targets = self.targets.get(&group).into_iter().flatten();
+        targets.flatten().any(|target| *target != index)
+    }
+}
+
+fn find_targets(cluster: &ClusterSnapshot, group: ReplicaGroup, taken: &[bool]) -> Targets {
+    let job = without_replica(&cluster.jobs[group.job], group.zone);
+    let takes_replica = |index: &usize| {
+        let machine = &cluster.machines[*index];
+        !taken[*index] && target_room(cluster, group.job, &job, *index, &machine.free).is_some()
+    };
+    let mut found = (0..cluster.machines.len()).filter(takes_replica);
+    [found.next(), found.next()]
+}
+
+/// A machine that could take a replica.
+struct TargetCandidate {
+    machine: usize,
+    /// Time to fetch the replica's image, s.
+    fetch_time: f64,
+    /// Tasks of lower priority to stop first.
+    victims: Vec<u64>,
+}
+
+impl TargetCandidate {
+    /// Whether this one is better: it has room while the other one must be cleared, or has the image sooner.
+    fn precedes(&self, other: &Self) -> bool {
+        let order = |candidate: &Self| (!candidate.victims.is_empty(), candidate.fetch_time);
+        order(self) < order(other)
+    }
+}
+
+/// Assigns the replicas of one relocation to machines.
+struct MovePlanner<'a> {
+    cluster: &'a ClusterSnapshot,
+    /// Machines that take no replica: taken for others, cleared for the job, or cleared for a replica.
+    closed: Vec<bool>,
+    /// What is left of machines that take replicas.
+    free: HashMap<usize, Resources>,
+    /// Jobs of which replicas move, with their replicas where they will be.
+    jobs: HashMap<usize, JobView>,
+    moves: Vec<ReplicaMove>,
+}
+
+impl<'a> MovePlanner<'a> {
+    fn new(cluster: &'a ClusterSnapshot, taken: &[bool], cleared: &[usize]) -> Self {
+        let mut closed = taken.to_vec();
+        for machine in cleared {
+            closed[*machine] = true;
+        }
+        Self { cluster, closed, free: HashMap::new(), jobs: HashMap::new(), moves: Vec::new() }
+    }
+
+    /// Finds a machine for a replica; `None` if there is none.
+    fn add(&mut self, replica: Victim, job_index: usize) -> Option<()> {
+        let cluster = self.cluster;
+        let source_zone = cluster.machines[replica.machine].zone;
+        let known = self.jobs.get(&job_index).unwrap_or(&cluster.jobs[job_index]);
+        let mut job = without_replica(known, source_zone);
+        let TargetCandidate { machine: target, victims, .. } = self.best_target(job_index, &job)?;
+        self.closed[target] |= !victims.is_empty();
+        let free = self.free.entry(target).or_insert(cluster.machines[target].free);
+        free.subtract(&job.request);
+        job.placed += 1;
+        if let Some(placed) = job.placed_per_zone.get_mut(cluster.machines[target].zone) {
+            *placed += 1;
+        }
+        self.jobs.insert(job_index, job);
+        let victims = victims.into_iter().map(|task| Victim { machine: target, task }).collect();
+        self.moves.push(ReplicaMove { job: job_index, replica, target, victims });
+        Some(())
+    }
+
+    /// The best machine for a replica of `job`, which has left its place.
+    fn best_target(&self, job_index: usize, job: &JobView) -> Option<TargetCandidate> {
+        let mut best: Option<TargetCandidate> = None;
+        for (index, machine) in self.cluster.machines.iter().enumerate() {
+            if self.closed[index] {
+                continue;
+            }
+            let free = self.free.get(&index).unwrap_or(&machine.free);
+            let victims = match target_room(self.cluster, job_index, job, index, free) {
+                None => continue,
+                Some(TargetRoom::Free) => Vec::new(),
+                Some(TargetRoom::AfterPreemption(victims)) => victims,
+            };
+            let fetch_time = self.cluster.fetch_time(job, machine);
+            let candidate = TargetCandidate { machine: index, fetch_time, victims };
+            if best.as_ref().is_none_or(|best| candidate.precedes(best)) {
+                best = Some(candidate);
+            }
+        }
+        best
+    }
+}
+
+#[cfg(test)]
+mod tests;
