--- a/crates/controller/tests/relocation.rs
+++ b/crates/controller/tests/relocation.rs
@@ -105,6 +105,25 @@
     assert_eq!((running(&workers[0], "req-000001"), running(&workers[1], "req-000001")), (3, 1));
 }
 
+/// A replica that must be where the others of its daemon are (seed 7319 of the random days).
+#[test]
+fn replica_bound_to_the_zone_of_others_gets_room_there() {
+    let mut harness = LeaderHarness::start();
+    let mut first = small_worker("m-1", "a");
+    harness.submit(JobSpec { one_zone: true, ..daemon("req-000002", 1) });
+    harness.submit(daemon("req-000001", 2));
+    harness.submit(JobSpec { one_zone: true, ..daemon("req-000003", 2) });
+    harness.run_rounds(&mut [&mut first]);
+    assert_eq!(running(&first, "req-000003"), 1, "m-1 is full");
+    let mut workers = [first, small_worker("m-2", "b")];
+    harness.submit(JobSpec { cpus: 1.0, ..job("req-000004", "array", 4) });
+    run(&mut harness, &mut workers, 40);
+    assert_eq!(running(&workers[0], "req-000003"), 2);
+    let replicas = running(&workers[0], "req-000001") + running(&workers[1], "req-000001");
+    assert_eq!(replicas, 2, "one of them moved");
+    assert_eq!(running(&workers[1], "req-000004"), 3, "one task made room for it");
+}
+
 /// The same for a gang: all its tasks get room at once.
 #[test]
 fn gang_that_asks_for_the_zone_gets_room_of_several_replicas() {
--- a/crates/policy/src/preemption/tests.rs
+++ b/crates/policy/src/preemption/tests.rs
@@ -82,3 +82,28 @@
     snapshot.jobs[1].priority = Priority::Normal;
     assert_eq!(victims(&snapshot), 0, "tasks of equal priority are not preempted");
 }
+
+/// What happened (seed 7319 of the random days): a daemon whose replicas must be in one zone had one of two in zone a,
+/// and tasks were stopped for the other one in zone b four times, where it may not run. Evidence: `task preempted` for
+/// req-000019 on machines of b, each followed by 10 s in which the machine was reserved and the job waited.
+#[test]
+fn job_bound_to_the_zone_of_its_tasks_preempts_only_there() {
+    let together = JobView {
+        daemon: true,
+        one_zone: true,
+        priority: Priority::Production,
+        startable: 1,
+        placed: 1,
+        placed_per_zone: vec![1, 0, 0],
+        ..job(1.0, 2)
+    };
+    let in_zone = |zone: usize, job: usize| MachineView { zone, ..full_machine(job, 3.0) };
+    let higher = JobView { daemon: true, priority: Priority::Production, ..job(1.0, 4) };
+    let jobs = vec![together, higher, job(1.0, 8)];
+    let mut snapshot = cluster(jobs, vec![in_zone(0, 1), in_zone(1, 2)]);
+    snapshot.now = 10.0;
+    assert_eq!(preempt(&snapshot), [], "zone 1 is of no use to it");
+    snapshot.machines.push(in_zone(0, 2));
+    let preemptions = preempt(&snapshot);
+    assert_eq!(preemptions[0].machines, [2]);
+}
