Simulation: a gang may be completed whose waiting part was lost unseen, and what lost tasks did counts

A new leader completes a gang under its attempt with a replacement on m-1, in a later incarnation; the waiting part on m-8, which answered at 174.1 s, has been discarded by m-8's worker a moment before, as its lease had run out unseen. The check wanted a part that waits at that very moment, and took the start for a second one of the same attempt. The trace shows the case allowed: the earlier start on m-1 was in incarnation 9, whose tasks are gone, and no task of the attempt ran. Change: tasks that a worker discarded, and those of lost machines, count among the attempt's: a part that waited until it was lost is enough, and one that had run before it was lost now fails the check, which it did not before.

--- a/crates/controller/tests/simulation/gangs.rs
+++ b/crates/controller/tests/simulation/gangs.rs
@@ -143,14 +143,16 @@
         assert!(replaces, "{task} attempt {attempt} is started twice on m-{}", m + 1);
     }
 
-    /// Whether other machines have tasks of the same attempt of a gang, and none of them has run.
+    /// Whether other machines have tasks of the same attempt of a gang, or had them until they were lost, and none of
+    /// them has run. The leader learns of a loss only later: until then it completes a gang that was seen waiting.
     fn gang_waits_for(&self, m: usize, task: &str, attempt: u64) -> bool {
         let (id, _) = task.split_once('/').expect("a task name");
         if !self.jobs.iter().any(|spec| spec.is_gang() && spec.id.as_str() == id) {
             return false;
         }
-        let others = self.machines.iter().enumerate().filter(|(n, other)| *n != m && !other.dead);
-        let tasks = others.flat_map(|(_, other)| other.worker.tasks());
+        let others = self.machines.iter().enumerate().filter(|(n, _)| *n != m);
+        let tasks =
+            others.flat_map(|(_, other)| other.worker.tasks().iter().chain(&other.discarded));
         let mut of_attempt = tasks.filter(|status| status.attempt == attempt).peekable();
         of_attempt.peek().is_some()
             && of_attempt.all(|status| {
--- a/crates/controller/tests/simulation/machines.rs
+++ b/crates/controller/tests/simulation/machines.rs
@@ -7,7 +7,7 @@
 use hookway_clients::Delivery;
 use hookway_testkit::ScriptedWorker;
 use hookway_time::{MonotonicTime, span_of_seconds};
-use hookway_wire::{DirectCommands, ExitCause, JobSpec};
+use hookway_wire::{DirectCommands, ExitCause, JobSpec, TaskState, TaskStatus};
 use rand::RngExt;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -40,6 +40,8 @@
     pub since: BTreeMap<String, MonotonicTime>,
     /// Number of starts before the current incarnation of its worker.
     pub incarnation_from: usize,
+    /// The unfinished tasks that its worker discarded when its lease expired.
+    pub discarded: Vec<TaskStatus>,
 }
 
 impl Machine {
@@ -65,6 +67,7 @@
             dead: false,
             since: BTreeMap::new(),
             incarnation_from: 0,
+            discarded: Vec::new(),
         }
     }
 }
@@ -79,6 +82,8 @@
         let (now, lease) = (self.now, self.worker_lease());
         let machine = &mut self.machines[m];
         if now > machine.lease_from + lease {
+            let unfinished = |status: &&TaskStatus| status.state != TaskState::Ended;
+            machine.discarded.extend(machine.worker.tasks().iter().filter(unfinished).cloned());
             machine.worker.expire_lease();
             machine.incarnation_from = machine.worker.started_attempts.len();
             machine.lease_from = now;
