--- a/crates/controller/tests/cluster_state/reservations.rs
+++ b/crates/controller/tests/cluster_state/reservations.rs
@@ -5,31 +5,17 @@
 //! reservation for req-000009 until 267.0 s and a `backoff_until` of 262.2 s, while m-6 and m-10 in the same zone ran
 //! tasks of lower priority.
 
-use crate::harness::{LeaderHarness, job, small_worker};
+use crate::harness::{LeaderHarness, job, running, small_worker};
 use hookway_testkit::ScriptedWorker;
 use hookway_wire::{ExitCause, JobId, JobSpec, Priority};
 
-/// One heartbeat of each worker and a round, so often.
-fn run(harness: &mut LeaderHarness, workers: &mut [ScriptedWorker; 2], rounds: usize) {
-    for _ in 0..rounds {
-        for worker in workers.iter_mut() {
-            harness.heartbeat(worker);
-        }
-        harness.advance(500);
-    }
-}
-
-fn running(worker: &ScriptedWorker, id: &str) -> usize {
-    worker.unfinished_tasks().iter().filter(|task| task.starts_with(id)).count()
-}
-
 /// Tasks of normal priority fill m-1 and m-2.
 fn full_machines() -> (LeaderHarness, [ScriptedWorker; 2]) {
     let mut harness = LeaderHarness::start();
     let mut workers = [small_worker("m-1", "a"), small_worker("m-2", "a")];
-    run(&mut harness, &mut workers, 2);
+    harness.run_rounds_of(&mut workers, 2);
     harness.submit(JobSpec { cpus: 1.0, ..job("req-000001", "array", 8) });
-    run(&mut harness, &mut workers, 4);
+    harness.run_rounds_of(&mut workers, 4);
     assert_eq!(running(&workers[0], "req-000001") + running(&workers[1], "req-000001"), 8);
     (harness, workers)
 }
@@ -61,7 +47,7 @@
     // The stops on m-1 are decided. Its worker rejects a start, so it gets no new task for 3 s.
     let task = workers[0].unfinished_tasks().remove(0);
     workers[0].end_task(&task, ExitCause::InsufficientResources);
-    run(&mut harness, &mut workers, 5);
+    harness.run_rounds_of(&mut workers, 5);
     assert_eq!(running(&workers[0], "req-000001"), 0, "m-1 was cleared");
     assert_eq!(running(&workers[1], "req-000002"), 1, "the job does not wait for m-1");
 }
@@ -71,7 +57,7 @@
     for kind in ["daemon", "group"] {
         let (mut harness, mut workers, cleared) = preempting_job(urgent(kind));
         harness.cluster.cancel(&JobId::parse("req-000002").expect("an id"));
-        run(&mut harness, &mut workers, 4);
+        harness.run_rounds_of(&mut workers, 4);
         assert_eq!(running(&workers[cleared], "req-000001"), 4, "{kind}: the room is used again");
     }
 }
@@ -86,7 +72,7 @@
     harness.advance(100);
     harness.heartbeat(&mut third);
     assert_eq!(running(&third, "req-000002"), 1, "a new machine takes it first");
-    run(&mut harness, &mut workers, 4);
+    harness.run_rounds_of(&mut workers, 4);
     assert_eq!(running(&workers[cleared], "req-000001"), 4, "the room is used again");
 }
 
@@ -94,7 +80,7 @@
 fn reservation_stays_while_its_job_waits_for_the_stops() {
     for kind in ["daemon", "group"] {
         let (mut harness, mut workers, cleared) = preempting_job(urgent(kind));
-        run(&mut harness, &mut workers, 4);
+        harness.run_rounds_of(&mut workers, 4);
         assert_eq!(running(&workers[cleared], "req-000002"), 1, "{kind}");
     }
 }
--- a/crates/controller/tests/daemons.rs
+++ b/crates/controller/tests/daemons.rs
@@ -3,22 +3,12 @@
 
 mod harness;
 
-use harness::{LeaderHarness, at, job, ms, small_worker, test_config};
+use harness::{LeaderHarness, at, daemon, job, ms, small_worker, test_config};
 use hookway_constants as constants;
 use hookway_controller::cluster_state::longest_worker_lease;
 use hookway_testkit::ScriptedWorker;
 use hookway_time::whole_millis;
-use hookway_wire::{Command, ExitCause, JobId, JobSpec, JobState, Priority};
-
-/// Replicas of one CPU, of the highest priority.
-fn daemon(id: &str, replicas: u32) -> JobSpec {
-    JobSpec {
-        cpus: 1.0,
-        priority: Priority::Production,
-        estimate_s: 0.0,
-        ..job(id, "daemon", replicas)
-    }
-}
+use hookway_wire::{Command, ExitCause, JobId, JobSpec, JobState};
 
 /// Submits a daemon whose one replica runs on the worker.
 fn submit_running_daemon(harness: &mut LeaderHarness, worker: &mut ScriptedWorker) -> JobId {
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -15,7 +15,7 @@
 use hookway_time::{MonotonicTime, WallTime};
 use hookway_wire::{
     Command, JobId, JobSpec, JobState, ListedMachine, MachineState, Operation, Precondition,
-    Transaction,
+    Priority, Transaction,
 };
 use std::time::Duration;
 
@@ -29,6 +29,21 @@
     JobSpec::parse(text.as_bytes()).expect("a valid job")
 }
 
+/// Replicas of one CPU, of the highest priority.
+pub fn daemon(id: &str, replicas: u32) -> JobSpec {
+    JobSpec {
+        cpus: 1.0,
+        priority: Priority::Production,
+        estimate_s: 0.0,
+        ..job(id, "daemon", replicas)
+    }
+}
+
+/// Number of unfinished tasks of a job on a worker.
+pub fn running(worker: &ScriptedWorker, id: &str) -> usize {
+    worker.unfinished_tasks().iter().filter(|task| task.starts_with(id)).count()
+}
+
 /// A span of this many milliseconds.
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -204,6 +219,16 @@
         self.commit_pending();
     }
 
+    /// One heartbeat of each worker and a scheduling round, so often.
+    pub fn run_rounds_of(&mut self, workers: &mut [ScriptedWorker], rounds: usize) {
+        for _ in 0..rounds {
+            for worker in workers.iter_mut() {
+                self.heartbeat(worker);
+            }
+            self.advance(500);
+        }
+    }
+
     /// Four heartbeats of each worker, each followed by a scheduling round.
     pub fn run_rounds(&mut self, workers: &mut [&mut ScriptedWorker]) {
         for _ in 0..4 {
--- a/crates/controller/tests/relocation.rs
+++ b/crates/controller/tests/relocation.rs
@@ -10,44 +10,19 @@
 
 mod harness;
 
-use harness::{LeaderHarness, job, small_worker};
+use harness::{LeaderHarness, daemon, job, running, small_worker};
 use hookway_testkit::ScriptedWorker;
 use hookway_wire::{ExitCause, JobId, JobSpec, Priority};
 
-/// Replicas of one CPU, of the highest priority.
-fn daemon(id: &str, replicas: u32) -> JobSpec {
-    JobSpec {
-        cpus: 1.0,
-        priority: Priority::Production,
-        estimate_s: 0.0,
-        ..job(id, "daemon", replicas)
-    }
-}
-
 fn spread_daemon(id: &str, replicas: u32) -> JobSpec {
     JobSpec { spread: true, ..daemon(id, replicas) }
 }
 
-/// Number of unfinished tasks of a job on a worker.
-fn running(worker: &ScriptedWorker, id: &str) -> usize {
-    worker.unfinished_tasks().iter().filter(|task| task.starts_with(id)).count()
-}
-
 /// Number of attempts that two workers have started.
 fn starts(workers: &[ScriptedWorker; 2]) -> usize {
     workers.iter().map(|worker| worker.started_attempts.len()).sum()
 }
 
-/// One heartbeat of each worker and a round, so often.
-fn run(harness: &mut LeaderHarness, workers: &mut [ScriptedWorker; 2], rounds: usize) {
-    for _ in 0..rounds {
-        for worker in workers.iter_mut() {
-            harness.heartbeat(worker);
-        }
-        harness.advance(500);
-    }
-}
-
 /// Four replicas of a daemon fill m-1, the only machine of zone a, and m-2 in zone b is empty.
 fn full_zone() -> (LeaderHarness, [ScriptedWorker; 2]) {
     let mut harness = LeaderHarness::start();
@@ -56,7 +31,7 @@
     harness.run_rounds(&mut [&mut first]);
     assert_eq!(running(&first, "req-000001"), 4);
     let mut workers = [first, small_worker("m-2", "b")];
-    run(&mut harness, &mut workers, 2);
+    harness.run_rounds_of(&mut workers, 2);
     (harness, workers)
 }
 
@@ -64,7 +39,7 @@
 fn waiting_spread_daemon() -> (LeaderHarness, [ScriptedWorker; 2]) {
     let (mut harness, mut workers) = full_zone();
     harness.submit(spread_daemon("req-000002", 2));
-    run(&mut harness, &mut workers, 2);
+    harness.run_rounds_of(&mut workers, 2);
     assert_eq!((running(&workers[0], "req-000002"), running(&workers[1], "req-000002")), (0, 1));
     (harness, workers)
 }
@@ -74,7 +49,7 @@
     let (mut harness, mut workers) = waiting_spread_daemon();
     let before = starts(&workers);
     for _ in 0..40 {
-        run(&mut harness, &mut workers, 1);
+        harness.run_rounds_of(&mut workers, 1);
         let replicas = running(&workers[0], "req-000001") + running(&workers[1], "req-000001");
         assert!(replicas >= 3, "at most one replica is away at a time, {replicas} run");
     }
@@ -87,10 +62,10 @@
 fn moving_replica_preempts_lower_priority_where_it_goes() {
     let (mut harness, mut workers) = full_zone();
     harness.submit(JobSpec { cpus: 1.0, ..job("req-000003", "array", 4) });
-    run(&mut harness, &mut workers, 3);
+    harness.run_rounds_of(&mut workers, 3);
     assert_eq!(running(&workers[1], "req-000003"), 4);
     harness.submit(spread_daemon("req-000002", 2));
-    run(&mut harness, &mut workers, 40);
+    harness.run_rounds_of(&mut workers, 40);
     assert_eq!((running(&workers[0], "req-000002"), running(&workers[1], "req-000002")), (1, 1));
     assert_eq!((running(&workers[0], "req-000001"), running(&workers[1], "req-000001")), (3, 1));
     assert_eq!(running(&workers[1], "req-000003"), 2, "no more tasks are stopped than must be");
@@ -100,7 +75,7 @@
 fn job_that_asks_for_the_zone_gets_room_there() {
     let (mut harness, mut workers) = full_zone();
     harness.submit(JobSpec { zone: Some("a".into()), ..daemon("req-000002", 1) });
-    run(&mut harness, &mut workers, 40);
+    harness.run_rounds_of(&mut workers, 40);
     assert_eq!(running(&workers[0], "req-000002"), 1);
     assert_eq!((running(&workers[0], "req-000001"), running(&workers[1], "req-000001")), (3, 1));
 }
@@ -117,7 +92,7 @@
     assert_eq!(running(&first, "req-000003"), 1, "m-1 is full");
     let mut workers = [first, small_worker("m-2", "b")];
     harness.submit(JobSpec { cpus: 1.0, ..job("req-000004", "array", 4) });
-    run(&mut harness, &mut workers, 40);
+    harness.run_rounds_of(&mut workers, 40);
     assert_eq!(running(&workers[0], "req-000003"), 2);
     let replicas = running(&workers[0], "req-000001") + running(&workers[1], "req-000001");
     assert_eq!(replicas, 2, "one of them moved");
@@ -136,7 +111,7 @@
     };
     harness.submit(gang);
     for _ in 0..60 {
-        run(&mut harness, &mut workers, 1);
+        harness.run_rounds_of(&mut workers, 1);
         let replicas = running(&workers[0], "req-000001") + running(&workers[1], "req-000001");
         assert!(replicas >= 3, "at most one replica is away at a time, {replicas} run");
     }
@@ -148,13 +123,13 @@
 fn replicas_without_room_elsewhere_stay() {
     let (mut harness, mut workers) = full_zone();
     harness.submit(daemon("req-000003", 3));
-    run(&mut harness, &mut workers, 3);
+    harness.run_rounds_of(&mut workers, 3);
     assert_eq!(running(&workers[1], "req-000003"), 3);
     harness.submit(spread_daemon("req-000002", 2));
-    run(&mut harness, &mut workers, 3);
+    harness.run_rounds_of(&mut workers, 3);
     assert_eq!(running(&workers[1], "req-000002"), 1, "m-2 is full");
     let before = starts(&workers);
-    run(&mut harness, &mut workers, 40);
+    harness.run_rounds_of(&mut workers, 40);
     assert_eq!(starts(&workers), before, "no replica is stopped for nothing");
     assert_eq!(running(&workers[0], "req-000001"), 4);
 }
@@ -170,7 +145,7 @@
     assert_eq!(first.unfinished_tasks().len(), 4);
     let mut workers = [first, small_worker("m-2", "b")];
     harness.submit(spread_daemon("req-000002", 2));
-    run(&mut harness, &mut workers, 40);
+    harness.run_rounds_of(&mut workers, 40);
     assert_eq!(workers[0].started_attempts.len(), 4, "no replica is stopped");
     assert_eq!(running(&workers[1], "req-000002"), 1);
 }
@@ -179,12 +154,12 @@
 #[test]
 fn replicas_do_not_move_to_and_fro() {
     let (mut harness, mut workers) = waiting_spread_daemon();
-    run(&mut harness, &mut workers, 40);
+    harness.run_rounds_of(&mut workers, 40);
     let before = starts(&workers);
     for term in 2..6 {
         let now = harness.now;
         harness = LeaderHarness::lead(harness.store.clone(), term, now);
-        run(&mut harness, &mut workers, 60);
+        harness.run_rounds_of(&mut workers, 60);
     }
     assert_eq!(starts(&workers), before, "nothing moves any more");
     assert_eq!(running(&workers[0], "req-000002"), 1);
@@ -195,7 +170,7 @@
 fn replica_stopped_by_earlier_leader_runs_again() {
     let (mut harness, mut workers) = waiting_spread_daemon();
     for _ in 0..40 {
-        run(&mut harness, &mut workers, 1);
+        harness.run_rounds_of(&mut workers, 1);
         if running(&workers[0], "req-000001") < 4 {
             break;
         }
@@ -203,7 +178,7 @@
     assert_eq!(running(&workers[0], "req-000001"), 3, "a replica was stopped");
     let now = harness.now;
     let mut next = LeaderHarness::lead(harness.store.clone(), 2, now);
-    run(&mut next, &mut workers, 60);
+    next.run_rounds_of(&mut workers, 60);
     assert_eq!(running(&workers[0], "req-000001") + running(&workers[1], "req-000001"), 4);
     assert_eq!(running(&workers[0], "req-000002") + running(&workers[1], "req-000002"), 2);
 }
@@ -213,13 +188,13 @@
 fn cancellation_amid_move_leaves_no_room_held() {
     for rounds in 0..12 {
         let (mut harness, mut workers) = waiting_spread_daemon();
-        run(&mut harness, &mut workers, rounds);
+        harness.run_rounds_of(&mut workers, rounds);
         harness.cluster.cancel(&JobId::parse("req-000002").expect("an id"));
-        run(&mut harness, &mut workers, 12);
+        harness.run_rounds_of(&mut workers, 12);
         let replicas = running(&workers[0], "req-000001") + running(&workers[1], "req-000001");
         assert_eq!(replicas, 4, "cancelled after {rounds} rounds");
         harness.submit(daemon("req-000004", 4));
-        run(&mut harness, &mut workers, 6);
+        harness.run_rounds_of(&mut workers, 6);
         let others = running(&workers[0], "req-000004") + running(&workers[1], "req-000004");
         assert_eq!(others, 4, "cancelled after {rounds} rounds: all room is free again");
     }
@@ -230,9 +205,9 @@
 fn replica_stays_if_its_target_is_lost_before_the_stop() {
     let (mut harness, mut workers) = full_zone();
     harness.submit(JobSpec { cpus: 1.0, ..job("req-000003", "array", 4) });
-    run(&mut harness, &mut workers, 3);
+    harness.run_rounds_of(&mut workers, 3);
     harness.submit(spread_daemon("req-000002", 2));
-    run(&mut harness, &mut workers, 3);
+    harness.run_rounds_of(&mut workers, 3);
     // m-2 falls silent while its tasks are being stopped.
     for _ in 0..30 {
         harness.heartbeat(&mut workers[0]);
@@ -254,11 +229,11 @@
     harness.run_rounds(&mut [&mut first]);
     assert_eq!(running(&first, "req-000001"), 4, "the team is at its limit");
     let mut workers = [first, small_worker("m-2", "b")];
-    run(&mut harness, &mut workers, 2);
+    harness.run_rounds_of(&mut workers, 2);
     let waiting = JobSpec { team: "tight".into(), cpus: 1.0, ..job("req-000003", "array", 8) };
     harness.submit(waiting);
     harness.submit(spread_daemon("req-000002", 2));
-    run(&mut harness, &mut workers, 40);
+    harness.run_rounds_of(&mut workers, 40);
     assert_eq!((running(&workers[0], "req-000001"), running(&workers[1], "req-000001")), (3, 1));
     assert_eq!(running(&workers[0], "req-000002"), 1);
     assert_eq!(running(&workers[1], "req-000003"), 0, "the limit is used by the replicas");
@@ -269,11 +244,11 @@
 fn replica_that_ends_amid_move_runs_again() {
     for rounds in 0..12 {
         let (mut harness, mut workers) = waiting_spread_daemon();
-        run(&mut harness, &mut workers, rounds);
+        harness.run_rounds_of(&mut workers, rounds);
         let replica =
             workers[0].unfinished_tasks().into_iter().find(|t| t.starts_with("req-000001"));
         workers[0].end_task(&replica.expect("a replica on m-1"), ExitCause::Done);
-        run(&mut harness, &mut workers, 60);
+        harness.run_rounds_of(&mut workers, 60);
         let replicas = running(&workers[0], "req-000001") + running(&workers[1], "req-000001");
         assert_eq!(replicas, 4, "ended after {rounds} rounds");
         assert_eq!(running(&workers[0], "req-000002"), 1, "ended after {rounds} rounds");
