--- a/crates/policy/src/autoscaling.rs
+++ b/crates/policy/src/autoscaling.rs
@@ -1,7 +1,7 @@
 //! How many machines of which kind the fleet should have: a plan assigns waiting tasks to the existing machines,
 //! and those that do not fit to new machines from the cheapest offers of the cloud. It places none of them.
 
-use crate::placement::{could_ever_hold, smallest_request};
+use crate::placement::{could_ever_hold, smallest_request, startable_jobs};
 use crate::{ClusterSnapshot, JobView, MachineView, Resources, desired_tasks};
 
 /// Maximum number of machines in one plan; the next round plans further ones. Bounds the time of a round.
@@ -83,7 +83,7 @@
 /// Plans how many machines to add, and tells which of the existing ones are needed. Tasks are first assigned to the
 /// free resources of machines that are up or booting.
 pub fn plan_scaling(cluster: &ClusterSnapshot, offers: &[MachineOffer]) -> ScalingPlan {
-    let smallest = smallest_request(&cluster.jobs);
+    let smallest = smallest_request(startable_jobs(&cluster.jobs));
     let mut planner = Planner::new(cluster, offers, &smallest);
     for job_index in jobs_to_scale_for(cluster) {
         let mut shortage = planner.shortage(job_index, &smallest);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -73,7 +73,7 @@
             .filter(|index| cluster.machines[*index].schedulable)
             .collect();
         Self {
-            smallest_request: smallest_request(&cluster.jobs),
+            smallest_request: smallest_request(startable_jobs(&cluster.jobs)),
             candidates,
             cluster,
             has_machine_reservation: false,
@@ -143,11 +143,15 @@
     }
 }
 
-/// The smallest amount of each resource that any startable task requests.
-pub(crate) fn smallest_request(jobs: &[JobView]) -> Resources {
-    let startable = jobs.iter().filter(|job| job.startable > 0);
+/// Jobs with tasks to start.
+pub(crate) fn startable_jobs(jobs: &[JobView]) -> impl Iterator<Item = &JobView> {
+    jobs.iter().filter(|job| job.startable > 0)
+}
+
+/// The smallest amount of each resource that a task of these jobs requests.
+pub(crate) fn smallest_request<'a>(jobs: impl Iterator<Item = &'a JobView>) -> Resources {
     let infinite = Resources { cpus: f64::INFINITY, gpus: f64::INFINITY, memory_gb: f64::INFINITY };
-    startable.fold(infinite, |smallest, job| Resources {
+    jobs.fold(infinite, |smallest, job| Resources {
         cpus: smallest.cpus.min(job.request.cpus),
         gpus: smallest.gpus.min(job.request.gpus),
         memory_gb: smallest.memory_gb.min(job.request.memory_gb),
--- a/crates/policy/src/relocation.rs
+++ b/crates/policy/src/relocation.rs
@@ -2,12 +2,15 @@
 //! hold. A replica neither ends by itself nor is preempted by a job of the same priority, so a job that is bound to
 //! its machine's zone would wait for ever although the replica could run elsewhere.
 
+use crate::placement::smallest_request;
 use crate::preemption::{
     Displaceable, ImageLocality, SearchScope, find_preemption, may_preempt, victims_on_machine,
     waits_for_preemption,
 };
 use crate::scheduling_queue::first_start_order;
-use crate::{ClusterSnapshot, JobView, MachineView, PlacedTaskView, Preemption, Resources, Victim};
+use crate::{
+    ClusterSnapshot, JobView, MachineView, PlacedTaskView, Preemption, Resources, TeamView, Victim,
+};
 use hookway_constants as constants;
 use hookway_time::millis_f64;
 use std::collections::{HashMap, HashSet};
@@ -197,6 +200,42 @@
     targets: HashMap<ReplicaGroup, Targets>,
 }
 
+/// Machines that may have room for a replica, or may be cleared for one, by zone.
+struct OpenMachines {
+    by_zone: Vec<Vec<usize>>,
+}
+
+impl OpenMachines {
+    /// Of the machines that are not `taken`: those with room for the smallest replica, or with a task of a lower
+    /// priority than the highest. The others need not be looked at for each daemon, of which there may be thousands.
+    fn find(cluster: &ClusterSnapshot, taken: &[bool]) -> Self {
+        let daemons = || cluster.jobs.iter().filter(|job| job.daemon);
+        let highest = daemons().map(|job| job.priority).max();
+        let smallest = smallest_request(daemons());
+        let any_guarantee = cluster.teams.iter().any(TeamView::has_guarantee);
+        let mut by_zone = vec![Vec::new(); cluster.zone_count()];
+        for (index, machine) in cluster.machines.iter().enumerate() {
+            let can_be_cleared = |task: &PlacedTaskView| {
+                any_guarantee
+                    || highest.is_some_and(|highest| cluster.jobs[task.job].priority < highest)
+            };
+            let open =
+                machine.free.fits(&smallest) || machine.placed_tasks.iter().any(can_be_cleared);
+            if open && machine.schedulable && !machine.booting && !taken[index] {
+                by_zone[machine.zone].push(index);
+            }
+        }
+        Self { by_zone }
+    }
+
+    /// Those in the zones that a job may use.
+    fn for_job(&self, job: &JobView) -> impl Iterator<Item = usize> {
+        let zones = self.by_zone.iter().enumerate().filter(|(zone, _)| job.may_use_zone(*zone));
+        let zones = zones.filter(|(zone, _)| job.zone.is_none_or(|only| only == *zone));
+        zones.flat_map(|(_, machines)| machines.iter().copied())
+    }
+}
+
 impl MovableReplicas {
     /// Replicas on machines that the job may use, of its own priority at most. A daemon of which a replica is missing
     /// gives none away.
@@ -207,6 +246,7 @@
         busy_jobs: &HashSet<usize>,
     ) -> Self {
         let job = &cluster.jobs[job_index];
+        let open = OpenMachines::find(cluster, taken);
         let mut movable = Self::default();
         for (index, machine) in cluster.machines.iter().enumerate() {
             let usable =
@@ -224,7 +264,7 @@
                 {
                     let group = ReplicaGroup { job: task.job, zone: machine.zone };
                     let targets = movable.targets.entry(group);
-                    targets.or_insert_with(|| find_targets(cluster, group, taken));
+                    targets.or_insert_with(|| find_targets(cluster, group, &open));
                 }
             }
         }
@@ -248,13 +288,13 @@
     }
 }
 
-fn find_targets(cluster: &ClusterSnapshot, group: ReplicaGroup, taken: &[bool]) -> Targets {
+fn find_targets(cluster: &ClusterSnapshot, group: ReplicaGroup, open: &OpenMachines) -> Targets {
     let job = without_replica(&cluster.jobs[group.job], group.zone);
     let takes_replica = |index: &usize| {
-        let machine = &cluster.machines[*index];
-        !taken[*index] && target_room(cluster, group.job, &job, *index, &machine.free).is_some()
+        let free = &cluster.machines[*index].free;
+        target_room(cluster, group.job, &job, *index, free).is_some()
     };
-    let mut found = (0..cluster.machines.len()).filter(takes_replica);
+    let mut found = open.for_job(&job).filter(takes_replica);
     [found.next(), found.next()]
 }
 
