--- a/review/rig/src/chaos.rs
+++ b/review/rig/src/chaos.rs
@@ -47,8 +47,14 @@
         teams: "[[settings.teams]]\nname = \"oaspete-cadastru\"\ncpus_max = 4.0\n",
     };
     let mut controllers = Controllers::prepare(folder, &deployment, record);
+    let peers = controllers.proxy_peers().await;
     let apis: Vec<String> = controllers.all.iter().map(|node| node.api.clone()).collect();
-    fleet.add_machines(&[ZONES[0], ZONES[1], ZONES[2], ZONES[0], ZONES[1], ZONES[2]], &apis).await;
+    fleet.add_machines(&[ZONES[0], ZONES[1], ZONES[2], ZONES[0], ZONES[1], ZONES[2], ZONES[0], ZONES[1], ZONES[2]], &apis).await;
+    {
+        let mut world = fleet.lock();
+        world.late_commands = 0.15;
+        world.late_reports = 0.1;
+    }
     controllers.start_all();
     let user = Rc::new(User { record: record.clone(), apis: apis.clone() });
     let known: Rc<RefCell<HashMap<String, Known>>> = Rc::default();
@@ -75,7 +81,7 @@
                             fleet.clone(),
                             record.clone(),
                         ));
-                        sleep(ms(300, 2_500)).await;
+                        sleep(ms(800, 5_000)).await;
                     }
                 });
             }
@@ -101,8 +107,33 @@
             while Instant::now() < until {
                 sleep(ms(500, 9_000)).await;
                 let node = rand::rng().random_range(0..3);
-                let machine = rand::rng().random_range(0..6);
-                match rand::rng().random_range(0..10) {
+                let machine = rand::rng().random_range(0..9);
+                match rand::rng().random_range(0..14) {
+                    8 | 9 => {
+                        // One controller loses the others, and perhaps the store.
+                        let modes = [Mode::Hold, Mode::HoldAnswers, Mode::LoseAnswers];
+                        let mode = modes[rand::rng().random_range(0..3)];
+                        let with_store = rand::rng().random_bool(0.6);
+                        let node = match controllers.leader(Duration::from_secs(2)).await {
+                            Some(leader) if rand::rng().random_bool(0.7) => leader,
+                            _ => node,
+                        };
+                        record.line(&format!("peers of worker-{node}: {mode:?}, store too: {with_store}"));
+                        for other in 0..3 {
+                            peers[node][other].set(mode);
+                            peers[other][node].set(mode);
+                        }
+                        if with_store {
+                            proxies[node].set(mode);
+                        }
+                        sleep(ms(1_000, 20_000)).await;
+                        for other in 0..3 {
+                            peers[node][other].set(Mode::Pass);
+                            peers[other][node].set(Mode::Pass);
+                        }
+                        proxies[node].set(Mode::Pass);
+                        record.line("peers: Pass");
+                    }
                     0 => {
                         controllers.all[node].kill();
                         sleep(ms(100, 6_000)).await;
@@ -208,7 +239,7 @@
     record: Record,
 ) {
     let pieces = 1 + number % 5;
-    let run_s = if number % 7 == 0 { 60.0 } else { 2.0 + f64::from(number % 5) * 3.0 };
+    let run_s = if number % 9 == 0 { 40.0 } else { 1.0 + f64::from(number % 5) * 2.0 };
     fleet.add_job(&id, run_s);
     let mut body = array(&id, pieces, if number % 3 == 0 { 2.0 } else { 1.0 }, run_s);
     if number % 4 == 0 {
--- a/review/rig/src/controllers.rs
+++ b/review/rig/src/controllers.rs
@@ -164,6 +164,27 @@
         Self { all, _addresses: reserved }
     }
 
+    /// Leads the connections between the controllers through proxies; `[i][j]` is the one from `i` to `j`.
+    pub async fn proxy_peers(&mut self) -> Vec<Vec<crate::proxy::Proxy>> {
+        let mut proxies = Vec::new();
+        for i in 0..3 {
+            let mut row = Vec::new();
+            for j in 0..3 {
+                let direct = self._addresses[j + 3].address().to_string();
+                let proxy = crate::proxy::Proxy::start(&direct).await;
+                if i != j {
+                    let path = &self.all[i].settings;
+                    let text = std::fs::read_to_string(path).expect("the settings");
+                    let text = text.replace(&direct, &proxy.address);
+                    std::fs::write(path, text).expect("the settings");
+                }
+                row.push(proxy);
+            }
+            proxies.push(row);
+        }
+        proxies
+    }
+
     pub fn start_all(&mut self) {
         self.all.iter_mut().for_each(Controller::start);
     }
--- a/review/rig/src/flapping.rs
+++ b/review/rig/src/flapping.rs
@@ -16,7 +16,7 @@
 /// Machines that stay reachable, and machines that lose the network.
 const MACHINES: usize = 6;
 /// Time within which the task must have been started elsewhere, if it is at all.
-const WATCH: Duration = Duration::from_secs(40);
+const WATCH: Duration = Duration::from_secs(15);
 
 /// Waits until `check` returns a value, for at most `wait`.
 async fn wait_for<T>(wait: Duration, mut check: impl FnMut() -> Option<T>) -> Option<T> {
--- a/review/rig/src/machines.rs
+++ b/review/rig/src/machines.rs
@@ -72,6 +72,10 @@
     pub violations: Vec<String>,
     pub record: Record,
     pub timing: Timing,
+    /// Share of the direct commands that are held up for 2 to 16 s, unanswered.
+    pub late_commands: f64,
+    /// Share of the reports of which a copy arrives again, from 2 s to well over a lease later.
+    pub late_reports: f64,
 }
 
 #[derive(Clone)]
@@ -92,6 +96,8 @@
             violations: Vec::new(),
             record: record.clone(),
             timing,
+            late_commands: 0.0,
+            late_reports: 0.0,
         };
         let fleet = Self(Arc::new(Mutex::new(world)));
         tokio::spawn(fleet.clone().advance());
@@ -212,6 +218,18 @@
                 (serde_json::to_vec(&heartbeat).expect("a report"), key)
             };
             (last_key, last_sent) = (key, now);
+            if rand::rng().random_bool(self.lock().late_reports) {
+                let wait = Duration::from_millis(rand::rng().random_range(2_000..40_000));
+                let (apis, copy) = (apis.clone(), body.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(wait).await;
+                    for api in &apis {
+                        let client = HttpClient::new(api);
+                        let copy = Some(copy.clone());
+                        let _ = client.exchange(Method::POST, "/checkin", copy, ANSWER_WAIT).await;
+                    }
+                });
+            }
             let answer =
                 tokio::time::timeout(ANSWER_WAIT, self.exchange(index, &client, body)).await;
             self.lock().machines[index].reporting = None;
@@ -484,6 +502,20 @@
                 cut
             }
         };
+        let late = self.fleet.lock().late_commands;
+        if !hangs && rand::rng().random_bool(late) {
+            let wait = Duration::from_millis(rand::rng().random_range(2_000..16_000));
+            let (fleet, machine) = (self.fleet.clone(), self.machine);
+            tokio::spawn(async move {
+                tokio::time::sleep(wait).await;
+                let mut world = fleet.lock();
+                let done = world.direct(machine, &commands);
+                let name = world.machines[machine].name.clone();
+                let text = format!("{name}: late {:?}, carried out: {done}", commands.commands);
+                world.record.line(&text);
+            });
+            return std::future::pending().await;
+        }
         if hangs {
             // Until its sender gives up. A connection attempt that was given up does not complete afterwards.
             return std::future::pending().await;
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -6,6 +6,7 @@
 mod controllers;
 mod flapping;
 mod machines;
+mod odd;
 mod proxy;
 mod record;
 mod users;
@@ -40,6 +41,7 @@
     let outcome = runtime.block_on(async {
         match case.as_str() {
             "flapping" => flapping::run(&folder, &record, trouble).await,
+            "odd" => odd::run(&folder, &record).await,
             "chaos" => chaos::run(&folder, &record, 420).await,
             _ => Outcome::CouldNotRun("no such case".into()),
         }
