--- a/review/rig/src/controllers.rs
+++ b/review/rig/src/controllers.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// What the process holds in memory.
+    pub fn memory(&self) -> String {
+        let pid = self.process.as_ref().map_or(0, Child::id);
+        let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmRSS"));
+        line.unwrap_or_default().to_owned()
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         self.process.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -41,6 +41,7 @@
     let outcome = runtime.block_on(async {
         match case.as_str() {
             "flapping" => flapping::run(&folder, &record, trouble).await,
+            "mem" => odd::memory(&folder, &record).await,
             "odd" => odd::run(&folder, &record).await,
             "chaos" => chaos::run(&folder, &record, 420).await,
             _ => Outcome::CouldNotRun("no such case".into()),
--- a/review/rig/src/odd.rs
+++ b/review/rig/src/odd.rs
@@ -83,3 +83,34 @@
     user.status(1, "req-000001").await;
     Outcome::Held
 }
+
+/// Many of the largest arrays, to see what the controllers hold in memory. Not a case.
+pub async fn memory(folder: &Path, record: &Record) -> Outcome {
+    let store = StoreServer::default();
+    store.expire_leases_by_clock();
+    let store_address = store.start().await.expect("a free port");
+    let fleet = Fleet::new(TIMING, record);
+    let cloud = fleet.start_cloud().await;
+    let deployment = Deployment {
+        store: &store_address,
+        stores: None,
+        cloud: &cloud,
+        timing: TIMING,
+        teams: "",
+    };
+    let mut controllers = Controllers::prepare(folder, &deployment, record);
+    let apis: Vec<String> = controllers.all.iter().map(|node| node.api.clone()).collect();
+    fleet.add_machines(&[ZONES[0], ZONES[1], ZONES[2]], &apis).await;
+    controllers.start_all();
+    let user = User { record: record.clone(), apis };
+    let leader = controllers.leader(Duration::from_secs(10)).await.unwrap_or(0);
+    for number in 1..=20 {
+        let id = format!("req-{number:06}");
+        fleet.add_job(&id, 30.0);
+        user.submit_once(0, &array(&id, 100_000, 1.0, 30.0)).await;
+        sleep(Duration::from_millis(500)).await;
+        let status = controllers.all[leader].memory();
+        record.line(&format!("{number} arrays of 100,000: leader {status}"));
+    }
+    Outcome::Held
+}
