--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -9,6 +9,7 @@
 mod odd;
 mod proxy;
 mod record;
+mod stuck;
 mod users;
 
 use record::Record;
@@ -42,6 +43,7 @@
         match case.as_str() {
             "flapping" => flapping::run(&folder, &record, trouble).await,
             "mem" => odd::memory(&folder, &record).await,
+            "stuck" => stuck::run(&folder, &record, trouble).await,
             "odd" => odd::run(&folder, &record).await,
             "chaos" => chaos::run(&folder, &record, 420).await,
             _ => Outcome::CouldNotRun("no such case".into()),
