--- a/review/rig/src/chaos.rs
+++ b/review/rig/src/chaos.rs
@@ -49,7 +49,15 @@
     let mut controllers = Controllers::prepare(folder, &deployment, record);
     let peers = controllers.proxy_peers().await;
     let apis: Vec<String> = controllers.all.iter().map(|node| node.api.clone()).collect();
-    fleet.add_machines(&[ZONES[0], ZONES[1], ZONES[2], ZONES[0], ZONES[1], ZONES[2], ZONES[0], ZONES[1], ZONES[2]], &apis).await;
+    fleet
+        .add_machines(
+            &[
+                ZONES[0], ZONES[1], ZONES[2], ZONES[0], ZONES[1], ZONES[2], ZONES[0], ZONES[1],
+                ZONES[2],
+            ],
+            &apis,
+        )
+        .await;
     {
         let mut world = fleet.lock();
         world.late_commands = 0.15;
@@ -118,7 +126,9 @@
                             Some(leader) if rand::rng().random_bool(0.7) => leader,
                             _ => node,
                         };
-                        record.line(&format!("peers of worker-{node}: {mode:?}, store too: {with_store}"));
+                        record.line(&format!(
+                            "peers of worker-{node}: {mode:?}, store too: {with_store}"
+                        ));
                         for other in 0..3 {
                             peers[node][other].set(mode);
                             peers[other][node].set(mode);
--- a/review/rig/src/machines.rs
+++ b/review/rig/src/machines.rs
@@ -21,6 +21,8 @@
 const FETCH: Duration = Duration::from_millis(300);
 const ANSWER_WAIT: Duration = Duration::from_secs(4);
 const RETRY: Duration = Duration::from_secs(1);
+/// Time after its start at which a task fails, if it does.
+const FAILS_AFTER: Duration = Duration::from_secs(1);
 const PROMPT: Duration = Duration::from_millis(500);
 
 /// The network between a machine and all controllers.
@@ -54,6 +56,8 @@
     /// When a report was last answered with 200.
     pub answered_at: Option<Instant>,
     pub deleted: bool,
+    /// The machine has stopped for good.
+    pub dead: bool,
     tenure: u64,
     tick: u64,
     baton: u64,
@@ -76,6 +80,8 @@
     pub late_commands: f64,
     /// Share of the reports of which a copy arrives again, from 2 s to well over a lease later.
     pub late_reports: f64,
+    /// Tasks that exit with `error` a second after their next start, once.
+    pub fail_once: Vec<String>,
 }
 
 #[derive(Clone)]
@@ -98,6 +104,7 @@
             timing,
             late_commands: 0.0,
             late_reports: 0.0,
+            fail_once: Vec::new(),
         };
         let fleet = Self(Arc::new(Mutex::new(world)));
         tokio::spawn(fleet.clone().advance());
@@ -126,6 +133,7 @@
                 last_attempt: None,
                 answered_at: None,
                 deleted: false,
+                dead: false,
                 tenure: 1,
                 tick: 0,
                 baton: 0,
@@ -162,6 +170,32 @@
         world.machines.iter().position(|m| m.tasks.iter().any(|t| t.on && t.status.task == piece))
     }
 
+    /// A machine stops with all that is on it. It is listed until it is deleted.
+    pub fn die(&self, index: usize) {
+        let mut world = self.lock();
+        let machine = &mut world.machines[index];
+        machine.dead = true;
+        machine.link = Link::Cut;
+        machine.tasks.clear();
+        let name = machine.name.clone();
+        world.record.line(&format!("{name} stops with all that is on it"));
+    }
+
+    pub fn is_deleted(&self, index: usize) -> bool {
+        self.lock().machines[index].deleted
+    }
+
+    /// The machines and the tasks on them.
+    pub fn describe(&self) -> String {
+        let world = self.lock();
+        let machines = world.machines.iter().map(|machine| {
+            let tasks = machine.tasks.iter().filter(|task| task.status.state != TaskState::Ended);
+            let names: Vec<&str> = tasks.map(|task| task.status.task.as_str()).collect();
+            format!("{} has {names:?}", machine.name)
+        });
+        machines.collect::<Vec<_>>().join("; ")
+    }
+
     pub fn has_any(&self, piece: &str) -> bool {
         let world = self.lock();
         world.machines.iter().any(|m| {
@@ -205,7 +239,7 @@
                 let mut world = self.lock();
                 world.expire(index, now);
                 let machine = &mut world.machines[index];
-                if machine.deleted {
+                if machine.deleted || machine.dead {
                     return;
                 }
                 let key = machine.change_key();
@@ -369,6 +403,12 @@
             let run = self.jobs.get(job).map_or(Duration::from_secs(5), |job| job.run);
             match task.status.state {
                 TaskState::FetchingImage if now >= task.since + FETCH => self.begin(index, t, now),
+                TaskState::Running
+                    if now >= task.since + FAILS_AFTER && self.fail_once.contains(&piece) =>
+                {
+                    self.fail_once.retain(|other| *other != piece);
+                    self.end(index, t, ExitCause::Error);
+                }
                 TaskState::Running if now >= task.since + run => {
                     self.end(index, t, ExitCause::Done);
                 }
@@ -431,12 +471,10 @@
                 .position(|t| t.status.task == *task && t.status.attempt == *attempt);
             match (command, known) {
                 (Command::Run { .. }, None) => {
-                    let is_busy = |t: &Task| {
-                        t.status.task == *task && t.status.state != TaskState::Ended
-                    };
+                    let is_busy =
+                        |t: &Task| t.status.task == *task && t.status.state != TaskState::Ended;
                     let busy = machine.tasks.iter().any(is_busy);
-                    let state =
-                        if busy { TaskState::Ended } else { TaskState::FetchingImage };
+                    let state = if busy { TaskState::Ended } else { TaskState::FetchingImage };
                     machine.tasks.push(Task {
                         status: TaskStatus {
                             task: task.clone(),
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -5,9 +5,11 @@
 mod chaos;
 mod controllers;
 mod flapping;
+mod left_waiting;
 mod machines;
 mod odd;
 mod proxy;
+mod quota_wait;
 mod record;
 mod stuck;
 mod users;
@@ -41,6 +43,8 @@
     let Ok(runtime) = runtime else { return ExitCode::from(2) };
     let outcome = runtime.block_on(async {
         match case.as_str() {
+            "left_waiting" => left_waiting::run(&folder, &record, trouble).await,
+            "quota_wait" => quota_wait::run(&folder, &record, trouble).await,
             "flapping" => flapping::run(&folder, &record, trouble).await,
             "mem" => odd::memory(&folder, &record).await,
             "stuck" => stuck::run(&folder, &record, trouble).await,
--- a/review/rig/src/odd.rs
+++ b/review/rig/src/odd.rs
@@ -31,7 +31,8 @@
     controllers.leader(Duration::from_secs(10)).await;
     sleep(Duration::from_secs(2)).await;
     let amounts = ["0.0", "1e-300", "1e-9", "5e-324", "1e300", "1.7e308", "-0.0", "1e19", "1e16"];
-    let fields = ["Vcpus", "Gpus", "RamGb", "ImageGb", "GuessS", "SnapshotEveryS", "SnapshotS", "DueS"];
+    let fields =
+        ["Vcpus", "Gpus", "RamGb", "ImageGb", "GuessS", "SnapshotEveryS", "SnapshotS", "DueS"];
     let mut number = 0;
     for shape in ["array", "group", "daemon"] {
         for field in fields {
--- a/review/rig/src/proxy.rs
+++ b/review/rig/src/proxy.rs
@@ -43,8 +43,7 @@
 
 impl Proxy {
     pub async fn start(target: &str) -> Self {
-        let refuser =
-            crate::machines::serve(Router::with_path("{**rest}").goal(refuse)).await;
+        let refuser = crate::machines::serve(Router::with_path("{**rest}").goal(refuse)).await;
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address").to_string();
         let state = Arc::new(Mutex::new(State { mode: Mode::Pass, epoch: 0 }));
