--- a/review/rig/src/machines.rs
+++ b/review/rig/src/machines.rs
@@ -53,6 +53,13 @@
     pub reporting: Option<(usize, Instant)>,
     /// When the last connection of a controller was attempted.
     pub last_attempt: Option<Instant>,
+    /// The node that the next report goes to, and the order in which the worker tries the nodes.
+    pub target: usize,
+    pub step: usize,
+    /// When the last report was sent.
+    pub sent_at: Option<Instant>,
+    /// If set, when the next report is due, within the bounds of the page.
+    pub due: Option<Instant>,
     /// When a report was last answered with 200.
     pub answered_at: Option<Instant>,
     pub deleted: bool,
@@ -131,6 +138,10 @@
                 held: None,
                 reporting: None,
                 last_attempt: None,
+                target: 0,
+                step: 0,
+                sent_at: None,
+                due: None,
                 answered_at: None,
                 deleted: false,
                 dead: false,
@@ -242,6 +253,8 @@
                 if machine.deleted || machine.dead {
                     return;
                 }
+                (machine.target, machine.step) = (target, step);
+                due = machine.due.take().unwrap_or(due);
                 let key = machine.change_key();
                 let prompt = key != last_key && now >= last_sent + PROMPT;
                 if now < due && !prompt {
@@ -249,6 +262,7 @@
                 }
                 let heartbeat = machine.heartbeat();
                 machine.reporting = Some((target, now));
+                machine.sent_at = Some(now);
                 (serde_json::to_vec(&heartbeat).expect("a report"), key)
             };
             (last_key, last_sent) = (key, now);
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -42,16 +42,26 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let Ok(runtime) = runtime else { return ExitCode::from(2) };
     let outcome = runtime.block_on(async {
-        match case.as_str() {
-            "left_waiting" => left_waiting::run(&folder, &record, trouble).await,
-            "quota_wait" => quota_wait::run(&folder, &record, trouble).await,
-            "flapping" => flapping::run(&folder, &record, trouble).await,
-            "mem" => odd::memory(&folder, &record).await,
-            "stuck" => stuck::run(&folder, &record, trouble).await,
-            "odd" => odd::run(&folder, &record).await,
-            "chaos" => chaos::run(&folder, &record, 420).await,
-            _ => Outcome::CouldNotRun("no such case".into()),
+        let run = async {
+            match case.as_str() {
+                "left_waiting" => left_waiting::run(&folder, &record, trouble).await,
+                "quota_wait" => quota_wait::run(&folder, &record, trouble).await,
+                "flapping" => flapping::run(&folder, &record, trouble).await,
+                "mem" => odd::memory(&folder, &record).await,
+                "stuck" => stuck::run(&folder, &record, trouble).await,
+                "odd" => odd::run(&folder, &record).await,
+                "chaos" => chaos::run(&folder, &record, 420).await,
+                _ => Outcome::CouldNotRun("no such case".into()),
+            }
+        };
+        let is_case = ["flapping", "left_waiting", "quota_wait"].contains(&case.as_str());
+        if !is_case {
+            return run.await;
         }
+        // A script of a case runs for 120 s at most.
+        let limit = std::time::Duration::from_secs(115);
+        let late = || Outcome::CouldNotRun("not over after 115 s".into());
+        tokio::time::timeout(limit, run).await.unwrap_or_else(|_| late())
     });
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&folder);
