Log who extends a worker's lease around a failover, and how reconciliation ends

New at debug level: "worker lease extended before reconciliation" (leader, with the reported and the sent token) and "worker lease extended as shard lessee"; "reconciled with earlier terms" says how many machines and records were accounted for by expiry alone.

--- a/crates/controller/src/actor/requests.rs
+++ b/crates/controller/src/actor/requests.rs
@@ -138,6 +138,11 @@
         let job_finished = |job: &_| final_states.contains(job);
         let extension =
             self.config.shard_lessee.extend_worker_lease(heartbeat, now, job_finished)?;
+        tracing::debug!(
+            machine = %heartbeat.machine, incarnation = heartbeat.incarnation,
+            fencing_token = extension.response.fencing_token,
+            "worker lease extended as shard lessee"
+        );
         Some(HeartbeatReply::Respond {
             response: extension.response,
             valid_until: self.config.clock.instant_at(extension.valid_until),
--- a/crates/controller/src/cluster_state/heartbeat.rs
+++ b/crates/controller/src/cluster_state/heartbeat.rs
@@ -171,6 +171,13 @@
             now + constants::MAX_PROMPT_HEARTBEAT_DELAY
         };
         let fencing_token = self.term + machine.token_offset;
+        if self.reconciliation.machines.contains(name) {
+            tracing::debug!(
+                machine = %name, incarnation = heartbeat.incarnation,
+                reported_token = heartbeat.fencing_token, fencing_token,
+                "worker lease extended before reconciliation"
+            );
+        }
         let mut expected = ExpectedHeartbeat {
             fencing_token: (fencing_token > heartbeat.fencing_token).then_some(fencing_token),
             previous_response_at,
--- a/crates/controller/src/cluster_state/reconciliation.rs
+++ b/crates/controller/src/cluster_state/reconciliation.rs
@@ -53,7 +53,15 @@
         }
         self.reconciliation.is_end_logged = true;
         let after_s = seconds_f64(now.saturating_duration_since(self.clocks.elected_at()));
-        tracing::info!(term = self.term, after_s, "reconciled with earlier terms");
+        let unreconciled = self.reconciliation.machines.len();
+        let unreadable = self.reconciliation.unreadable_records.len();
+        tracing::info!(
+            term = self.term,
+            after_s,
+            unreconciled,
+            unreadable,
+            "reconciled with earlier terms"
+        );
     }
 
     /// Whether the leases of all workers without a heartbeat to this leader have certainly expired
