Leader extends no worker's lease before the worker has shown its fencing token

Cause: everything that a new leader proves from the expiry of unreconciled workers' leases counts from its election, but it answered heartbeats with an older token in full, which extended these leases. A worker may execute a delayed start of the previous leader between its heartbeat and that answer. The new leader knew nothing of the task, and took all machines as reconciled one lease after its election.

The answer could neither name nor stop the task, so a cancelled task could outlive cancel_s where two leases are longer than it (42 s and 72 s), and a team could exceed its limit. Counting the later time for each machine would leave the cancellation broken, and one machine could hold up all others.

Change: until a registered worker has shown a token of the term, its heartbeat gets a 200 without a token, which the protocol lets it drop, and a state probe at once, which shows it the token. Its next heartbeat is answered in full. Requested probes have slots of their own. An answer to direct commands with the term's token reconciles its machine too; a cordoned machine is probed unless it is being deleted.

Changed tests, as strict: the harness answers the probe that follows a first heartbeat; workers_with_old_fencing_token_are_probed wants the probe at once instead of after 0.8 s, and that the worker drops the answer; result_of_earlier_attempt_after_failover_ends_no_replica expects the reap in the second answer; fleet_size answers the probes between its two rounds of heartbeats.

--- a/crates/controller/src/actor/requests.rs
+++ b/crates/controller/src/actor/requests.rs
@@ -7,6 +7,7 @@
 use crate::leadership::wall_clock;
 use hookway_time::MonotonicTime;
 use hookway_wire::{Command, Heartbeat, HeartbeatResponse, ReplicationStatus};
+use tokio::sync::oneshot;
 
 impl ControllerActor {
     /// Handles a request while another controller leads or no controller does.
@@ -48,16 +49,8 @@
         };
         match request {
             ControllerRequest::Heartbeat { heartbeat, reply } => {
-                let valid_until =
-                    self.config.clock.instant_at(active.background_tasks.authority.expires_at());
                 let response = cluster.handle_heartbeat(&heartbeat, now);
-                if response.as_ref().is_some_and(starts_a_task) {
-                    self.config.standby.start_dispatched(now);
-                }
-                let _ = reply.send(response.map_or(HeartbeatReply::Unavailable, |response| {
-                    HeartbeatReply::Respond { response, valid_until }
-                }));
-                self.dispatch(active);
+                self.reply_to_heartbeat(active, response, reply, now);
             }
             ControllerRequest::Status { job, reply } => {
                 answer(reply, cluster.status(&job));
@@ -91,6 +84,30 @@
         }
     }
 
+    /// Replies to a heartbeat with the response of the cluster state, and sends what that has
+    /// decided since.
+    fn reply_to_heartbeat(
+        &mut self,
+        active: &mut ActiveTerm,
+        response: Option<HeartbeatResponse>,
+        reply: oneshot::Sender<HeartbeatReply>,
+        now: MonotonicTime,
+    ) {
+        if response.as_ref().is_some_and(starts_a_task) {
+            self.config.standby.start_dispatched(now);
+        }
+        let needs_state_probe = response.as_ref().is_some_and(|response| !response.extends_lease());
+        let expires_at = active.background_tasks.authority.expires_at();
+        let valid_until = self.config.clock.instant_at(expires_at);
+        let _ = reply.send(response.map_or(HeartbeatReply::Unavailable, |response| {
+            HeartbeatReply::Respond { response, valid_until }
+        }));
+        if needs_state_probe {
+            self.send_state_probes(active, now);
+        }
+        self.dispatch(active);
+    }
+
     /// Handles a request in a term of this controller while it must not decide: it has not read the
     /// records yet, or its leadership lease has expired, or decisions are still suspended after
     /// that.
--- a/crates/controller/src/cluster_state/direct_dispatch.rs
+++ b/crates/controller/src/cluster_state/direct_dispatch.rs
@@ -180,6 +180,7 @@
             && version > machine.newest_message
         {
             machine.newest_message = version;
+            self.reconcile_machine(heartbeat);
             self.apply_reported_tasks(name, heartbeat, now, MessageKind::DirectAnswer);
         }
     }
--- a/crates/controller/src/cluster_state/heartbeat.rs
+++ b/crates/controller/src/cluster_state/heartbeat.rs
@@ -52,7 +52,11 @@
         let machine = self.machines.get_mut(name)?;
         let previous_response_at = std::mem::replace(&mut machine.last_response_at, now);
         self.place_at_heartbeat(name, now);
-        self.respond(heartbeat, previous_response_at, now)
+        if self.may_extend_worker_lease(name, now) {
+            self.respond(heartbeat, previous_response_at, now)
+        } else {
+            self.respond_without_lease_extension(heartbeat)
+        }
     }
 
     /// Adds the machine if it is not in the cluster state yet.
@@ -134,11 +138,11 @@
         }
     }
 
-    /// Marks the machine as reconciled if the heartbeat has a fencing token of this term: the
-    /// worker had seen the token when it sent the heartbeat, so the heartbeat names every task. A
-    /// heartbeat with an older token may lack tasks that an earlier leader started afterwards,
-    /// although it is the newest heartbeat that this leader has seen.
-    fn reconcile_machine(&mut self, heartbeat: &Heartbeat) {
+    /// Marks the machine as reconciled if the heartbeat, or the answer to direct commands, has a
+    /// fencing token of this term: the worker had seen the token when it sent the message, so the
+    /// message names every task. One with an older token may lack tasks that an earlier leader
+    /// started afterwards, although it is the newest that this leader has seen.
+    pub(super) fn reconcile_machine(&mut self, heartbeat: &Heartbeat) {
         if heartbeat.fencing_token >= self.term {
             self.reconciliation.machines.remove(&heartbeat.machine);
         }
@@ -154,6 +158,34 @@
         }
     }
 
+    /// Whether a response may extend the lease of the machine's worker.
+    ///
+    /// Until the worker has shown a fencing token of this term, it may execute a delayed start of an
+    /// earlier leader, even right before the response arrives. This leader would not know the task,
+    /// and so could neither count it nor stop it. Everything that follows from the expiry of such
+    /// workers' leases counts from the election, so this leader must not extend them.
+    fn may_extend_worker_lease(&self, name: &str, now: MonotonicTime) -> bool {
+        !self.reconciliation.machines.contains(name) || self.is_reconciled(now)
+    }
+
+    /// Returns a response that the worker drops, and requests a state probe, which shows the worker
+    /// this term's fencing token. The next heartbeat then has that token, and is answered in full.
+    fn respond_without_lease_extension(
+        &mut self,
+        heartbeat: &Heartbeat,
+    ) -> Option<HeartbeatResponse> {
+        let machine = self.machines.get_mut(&heartbeat.machine)?;
+        tracing::debug!(
+            machine = %heartbeat.machine, incarnation = heartbeat.incarnation,
+            reported_token = heartbeat.fencing_token, term = self.term,
+            "heartbeat without the fencing token of this term: worker lease not extended"
+        );
+        machine.expected_heartbeat = ExpectedHeartbeat::default();
+        machine.heartbeat_expected_by = MonotonicTime::ZERO;
+        self.state_probes.request(&heartbeat.machine);
+        Some(HeartbeatResponse::without_lease_extension())
+    }
+
     /// Returns the response, and records what the next heartbeat shows if the worker applies it.
     fn respond(
         &mut self,
@@ -171,13 +203,6 @@
             now + constants::MAX_PROMPT_HEARTBEAT_DELAY
         };
         let fencing_token = self.term + machine.token_offset;
-        if self.reconciliation.machines.contains(name) {
-            tracing::debug!(
-                machine = %name, incarnation = heartbeat.incarnation,
-                reported_token = heartbeat.fencing_token, fencing_token,
-                "worker lease extended before reconciliation"
-            );
-        }
         let mut expected = ExpectedHeartbeat {
             fencing_token: (fencing_token > heartbeat.fencing_token).then_some(fencing_token),
             previous_response_at,
--- a/crates/controller/src/cluster_state/machine.rs
+++ b/crates/controller/src/cluster_state/machine.rs
@@ -3,7 +3,6 @@
 use super::placed_task::{EndedTask, ExpectedHeartbeat, PlacedTask};
 use super::state_probe::StateProbe;
 use super::{JobKey, MachineReservation};
-use hookway_constants as constants;
 use hookway_time::{MonotonicTime, duration_from_seconds};
 use hookway_wire::Heartbeat;
 use std::time::Duration;
@@ -200,18 +199,6 @@
         }
     }
 
-    /// Whether the worker of an unreconciled machine should be probed at `now`: its address is
-    /// known, it is not cordoned, its next heartbeat is not expected at once, no probe is in
-    /// flight, and the last one was long enough ago.
-    pub fn needs_state_probe(&self, now: MonotonicTime) -> bool {
-        let is_heartbeat_expected = self.has_reported
-            && now < self.last_response_at + constants::MAX_PROMPT_HEARTBEAT_DELAY;
-        self.state_probe.is_due(now)
-            && !is_heartbeat_expected
-            && !self.address.is_empty()
-            && self.cordon_reason.is_none()
-    }
-
     /// Updates the machine's own properties from its newest message, received at `now`.
     pub fn update_from(&mut self, heartbeat: &Heartbeat, now: MonotonicTime) {
         self.newest_message = MessageVersion::of(heartbeat);
--- a/crates/controller/src/cluster_state/state_probe.rs
+++ b/crates/controller/src/cluster_state/state_probe.rs
@@ -1,10 +1,16 @@
 //! State probes: requests in which a new leader asks workers for the tasks on their machines.
 
 use super::heartbeat_tasks::MessageKind;
-use super::{ClusterState, MessageVersion};
+use super::{ClusterState, CordonReason, Machine, MessageVersion};
 use hookway_constants as constants;
 use hookway_time::MonotonicTime;
 use hookway_wire::Heartbeat;
+use std::collections::BTreeSet;
+
+/// Maximum number of state probes in flight, the requested ones included. Above
+/// [`constants::MAX_STATE_PROBES`], so that probes of silent machines, which may have to time out,
+/// never use the slots of requested ones.
+const MAX_PROBES_WITH_REQUESTED: usize = 2 * constants::MAX_STATE_PROBES;
 
 /// The state probes of all machines.
 #[derive(Debug)]
@@ -13,12 +19,21 @@
     pub in_flight: usize,
     /// Time from which workers that have not shown this leader's fencing token are probed.
     pub start_at: MonotonicTime,
+    /// Machines whose workers are probed at once, since they have sent a heartbeat without this
+    /// leader's fencing token.
+    requested: BTreeSet<String>,
 }
 
 impl StateProbes {
     /// Creates the state of a leader that was elected at `elected_at` and has sent no probe.
     pub fn new(elected_at: MonotonicTime) -> Self {
-        Self { in_flight: 0, start_at: elected_at + constants::STATE_PROBE_DELAY }
+        let start_at = elected_at + constants::STATE_PROBE_DELAY;
+        Self { in_flight: 0, start_at, requested: BTreeSet::new() }
+    }
+
+    /// Requests a probe of a machine's worker that does not wait for the time of the next retry.
+    pub fn request(&mut self, machine: &str) {
+        self.requested.insert(machine.to_owned());
     }
 
     /// Records that one probe is no longer in flight.
@@ -90,27 +105,44 @@
     /// The caller passes the outcome of each probe to [`ClusterState::apply_state_probe_outcome`].
     ///
     /// A worker finds a new leader only after its heartbeat to the previous one has failed, which
-    /// takes some seconds for each controller that hangs. It shows the new token with the heartbeat
-    /// after that, which may be its next regular one. Until all workers have shown it, most tasks
-    /// of earlier terms can't be started.
+    /// takes some seconds for each controller that hangs. Until all workers have shown the token,
+    /// most tasks of earlier terms can't be started. Workers that have sent a heartbeat without the
+    /// token are probed first, and at once: their leases are not extended before they show it.
     pub fn take_state_probes(&mut self, now: MonotonicTime) -> Vec<StateProbeRequest> {
-        let free_slots = constants::MAX_STATE_PROBES.saturating_sub(self.state_probes.in_flight);
+        let mut probes = self.take_requested_probes(now);
         if now < self.state_probes.start_at {
-            return Vec::new();
+            return probes;
         }
-        let mut probes = Vec::new();
         for name in &self.reconciliation.machines {
-            if probes.len() >= free_slots {
+            if self.state_probes.in_flight >= constants::MAX_STATE_PROBES {
                 break;
             }
             let Some(machine) = self.machines.get_mut(name) else { continue };
-            if machine.needs_state_probe(now) {
-                machine.state_probe.mark_sent(now);
-                let (machine, address) = (name.clone(), machine.address.clone());
-                probes.push(StateProbeRequest { machine, address });
+            if machine.state_probe.is_due(now) && !self.machines_being_deleted.contains(name) {
+                probes.extend(take_probe(name, machine, &mut self.state_probes.in_flight, now));
+            }
+        }
+        probes
+    }
+
+    /// Returns the probes of machines that have sent a heartbeat without this term's fencing token.
+    fn take_requested_probes(&mut self, now: MonotonicTime) -> Vec<StateProbeRequest> {
+        let mut probes = Vec::new();
+        if self.state_probes.in_flight >= MAX_PROBES_WITH_REQUESTED {
+            return probes;
+        }
+        for name in std::mem::take(&mut self.state_probes.requested) {
+            let Some(machine) = self.machines.get_mut(&name) else { continue };
+            if !self.reconciliation.machines.contains(&name) {
+                continue;
+            }
+            let has_free_slot = self.state_probes.in_flight < MAX_PROBES_WITH_REQUESTED;
+            if has_free_slot && !machine.state_probe.is_in_flight() {
+                probes.extend(take_probe(&name, machine, &mut self.state_probes.in_flight, now));
+            } else {
+                self.state_probes.requested.insert(name);
             }
         }
-        self.state_probes.in_flight += probes.len();
         probes
     }
 
@@ -143,7 +175,9 @@
         let has_restarted =
             machine.has_reported && version.incarnation != machine.newest_message.incarnation;
         let is_outdated = version <= machine.newest_message;
-        if is_expired || machine.cordon_reason.is_some() || has_restarted || is_outdated {
+        let is_leaving = self.machines_being_deleted.contains(name)
+            || machine.cordon_reason == Some(CordonReason::Failed);
+        if is_expired || is_leaving || has_restarted || is_outdated {
             return;
         }
         if !machine.has_reported {
@@ -155,3 +189,19 @@
         self.apply_reported_tasks(name, &answer, now, MessageKind::DirectAnswer);
     }
 }
+
+/// Returns the probe of a machine's worker, and counts it as in flight; `None` if the worker's
+/// address is unknown.
+fn take_probe(
+    name: &str,
+    machine: &mut Machine,
+    in_flight: &mut usize,
+    now: MonotonicTime,
+) -> Option<StateProbeRequest> {
+    if machine.address.is_empty() {
+        return None;
+    }
+    machine.state_probe.mark_sent(now);
+    *in_flight += 1;
+    Some(StateProbeRequest { machine: name.to_owned(), address: machine.address.clone() })
+}
--- a/crates/controller/tests/cluster_state/main.rs
+++ b/crates/controller/tests/cluster_state/main.rs
@@ -18,6 +18,7 @@
 mod support;
 mod unknown_watermarks;
 mod unreachable_machines;
+mod unreconciled_workers;
 
 #[path = "../harness/mod.rs"]
 mod harness;
--- a/crates/controller/tests/daemons.rs
+++ b/crates/controller/tests/daemons.rs
@@ -213,6 +213,7 @@
     let id = submit_running_daemon(&mut harness, &mut worker);
     worker.end_task("req-000001/0", ExitCause::Done);
     let mut next = LeaderHarness::with_term(harness.store.clone(), 2, at(60_000));
+    assert!(next.heartbeat(&mut worker).is_empty(), "the worker has not shown the new token");
     let commands = next.heartbeat(&mut worker);
     assert!(commands.iter().any(|command| matches!(command, Command::Reap { .. })), "{commands:?}");
     for _ in 0..4 {
--- a/crates/controller/tests/fleet_size.rs
+++ b/crates/controller/tests/fleet_size.rs
@@ -94,6 +94,21 @@
         self.flush();
     }
 
+    /// Delivers all state probes that are due, and the workers' answers.
+    fn answer_probes(&mut self) {
+        loop {
+            let probes = self.harness.cluster.take_state_probes(self.harness.now);
+            if probes.is_empty() {
+                return;
+            }
+            for probe in probes {
+                let worker = self.workers.iter_mut().find(|w| w.machine_name() == probe.machine);
+                let worker = worker.expect("the worker of a registered machine");
+                self.harness.answer_probe(worker);
+            }
+        }
+    }
+
     /// Returns the number of unfinished tasks on all workers.
     fn running(&self) -> usize {
         self.workers.iter().map(|worker| worker.unfinished_tasks().len()).sum()
@@ -145,6 +160,7 @@
         !fleet.harness.cluster.is_reconciled(fleet.harness.now),
         "heartbeats with the old fencing token reconcile no machine"
     );
+    fleet.answer_probes();
     fleet.heartbeat_all();
     println!("every machine reconciled in {:?}", started_at.elapsed());
     assert!(fleet.harness.cluster.is_reconciled(fleet.harness.now), "every machine is reconciled");
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -165,18 +165,40 @@
     },
 }
 
+/// Stands for a missing fencing token in a [`HeartbeatResponse`]. No leader has this token.
+const NO_FENCING_TOKEN: u64 = 0;
+
 /// The leader's response to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct HeartbeatResponse {
-    /// Fencing token of the responding leader.
-    #[serde(rename = "Baton")]
+    /// Fencing token of the responding leader; 0 in a response without one, which the worker drops.
+    #[serde(rename = "Baton", default, skip_serializing_if = "is_missing_token")]
     pub fencing_token: u64,
     /// Commands in the order in which the worker executes them.
     #[serde(rename = "Orders")]
     pub commands: Vec<Command>,
 }
 
+impl HeartbeatResponse {
+    /// Returns a response without a fencing token. The worker drops it: it executes nothing and does
+    /// not extend its lease, but sends its next heartbeat to the same controller.
+    pub fn without_lease_extension() -> Self {
+        Self { fencing_token: NO_FENCING_TOKEN, commands: Vec::new() }
+    }
+
+    /// Whether a worker that has not seen a higher fencing token accepts the response and extends
+    /// its lease.
+    pub fn extends_lease(&self) -> bool {
+        !is_missing_token(&self.fencing_token)
+    }
+}
+
+/// Whether a response has no fencing token.
+fn is_missing_token(fencing_token: &u64) -> bool {
+    *fencing_token == NO_FENCING_TOKEN
+}
+
 /// Commands in direct dispatch: sent to a worker without waiting for its heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
