Machines of an unreadable registry record are reconciled before their leases are extended

The same failure on a related path: if a registry record can't be read, its machines are not in the set of machines to reconcile. Such a machine became known by its heartbeat or the cloud's list, its heartbeat with the old token was answered in full, and its worker's lease outlasted the proof by the election.

Change: while a record is unreadable and reconciliation lasts, a machine that reports for the first time counts as not reconciled until its worker shows the term's token.

--- a/crates/controller/src/cluster_state/heartbeat.rs
+++ b/crates/controller/src/cluster_state/heartbeat.rs
@@ -30,6 +30,7 @@
             return None;
         }
         self.add_if_unknown(heartbeat, now);
+        self.mark_unreconciled_if_unreadable(name, now);
         self.expire_lease_if_silent(name, now);
         self.accept_version(heartbeat)?;
         self.check_acknowledgement(name, heartbeat, now);
@@ -71,6 +72,16 @@
         self.machines.insert(heartbeat.machine.clone(), Machine::new(now));
     }
 
+    /// Marks a machine that has not reported before as not reconciled if an unreadable registry
+    /// record may name it: then an earlier leader may have started tasks on it.
+    fn mark_unreconciled_if_unreadable(&mut self, name: &str, now: MonotonicTime) {
+        let is_first_report = self.machines.get(name).is_some_and(|machine| !machine.has_reported);
+        let may_be_registered = !self.reconciliation.unreadable_records.is_empty();
+        if is_first_report && may_be_registered && !self.is_reconciled(now) {
+            self.reconciliation.machines.insert(name.to_owned());
+        }
+    }
+
     /// Records the version of a heartbeat. `None`: the heartbeat is rejected as old, because it is
     /// not newer than the newest heartbeat of its machine, or is of an earlier or expired
     /// incarnation.
--- a/crates/controller/tests/cluster_state/unreconciled_workers.rs
+++ b/crates/controller/tests/cluster_state/unreconciled_workers.rs
@@ -1,11 +1,13 @@
 //! Workers that have not shown a new leader's fencing token: they may still execute commands of an earlier leader, so
 //! the new leader does not know their tasks, and what it proves from their leases must hold whatever it responds.
 
-use crate::harness::{LeaderHarness, job, ms, small_worker, test_config, timestamp};
+use crate::harness::{
+    LeaderHarness, job, listed_machine, ms, small_worker, test_config, timestamp,
+};
 use hookway_controller::cluster_state::{ControllerConfig, longest_worker_lease};
 use hookway_testkit::{MemoryStore, ScriptedWorker};
 use hookway_time::{MonotonicTime, duration_from_seconds};
-use hookway_wire::{DirectCommands, HeartbeatResponse, JobId, JobSpec};
+use hookway_wire::{DirectCommands, HeartbeatResponse, JobId, JobSpec, MachineState};
 use std::time::Duration;
 
 /// Term of the new leader: above the fencing tokens of the first term.
@@ -163,6 +165,29 @@
     }
 }
 
+/// Guards against the same failure where the new leader can't read which machines are registered, and knows the machine
+/// from its heartbeat or from the cloud's list of machines.
+#[test]
+fn delayed_start_on_machine_of_unreadable_record_runs_on_one_machine() {
+    let make_registry_unreadable = |store: &mut MemoryStore| {
+        for kv in store.list("r/") {
+            store.put(&kv.key, "not a registry record".into());
+        }
+    };
+    for is_listed in [false, true] {
+        println!("listed: {is_listed}");
+        let spec = job("req-000001", "array", 1);
+        let mut failover =
+            Failover::with_changed_store(test_config(), spec, make_registry_unreadable);
+        if is_listed {
+            let listed = listed_machine("m-1", MachineState::Running, 60.0);
+            let now = failover.next.now;
+            failover.next.cluster.machines_listed(&[listed], now, now);
+        }
+        assert_runs_on_one_machine(failover);
+    }
+}
+
 /// Guards against a team above its limit by the same failure: the task on the unreachable machine was not counted.
 #[test]
 fn delayed_start_before_response_of_new_leader_counts_against_quota() {
