Reconciliation that has ended does not begin again

Found while listing what extends a lease against what is proven from it. Reconciliation could end by the expiry of all leases while a machine that had reported with an old token was still listed; then shard leases were granted, and their lessees' extensions counted against that same expiry. So it was "not reconciled" again, for all machines: no gang, no older job and no team with a limit started. An answer of this controller as a lessee, to any one worker, did the same.

Change: the end of reconciliation is a state, set before a shard lease is granted. The time that the proof counts from is the election and nothing moves it: this leader extends no lease of an unreconciled worker, and leases its own shard to itself only after the end.

--- a/crates/controller/src/cluster_state/lease_expiry.rs
+++ b/crates/controller/src/cluster_state/lease_expiry.rs
@@ -9,9 +9,6 @@
     /// cancels planned starts on machines that have sent no heartbeat for too long.
     pub fn expire_leases(&mut self, now: MonotonicTime) {
         self.queue_confirmable_cancellations(now);
-        if self.unreconciled_leases_expired(now) {
-            self.commit_queue.registry.treat_unreadable_as_empty();
-        }
         let start_timeout = self.planned_start_timeout();
         let names: Vec<String> = self.machines.keys().cloned().collect();
         for name in names {
--- a/crates/controller/src/cluster_state/leases.rs
+++ b/crates/controller/src/cluster_state/leases.rs
@@ -40,6 +40,7 @@
         renewal: &ShardLeaseRenewal,
         now: MonotonicTime,
     ) -> Option<ShardLease> {
+        self.end_reconciliation_if_due(now);
         let lease = self.shard_lease_length(now);
         self.shard_lessor.respond_to_renewal(self.term, renewal, lease, now)
     }
@@ -75,10 +76,9 @@
     }
 
     /// Records that this controller answered a worker as a lessee at `now`, while its leadership
-    /// was uncertain: the answer may have extended the worker's lease.
+    /// was uncertain: the answer may have extended the worker's lease. This concerns no unreconciled
+    /// worker, since a leader leases its own shard to itself only once reconciliation has ended.
     pub fn record_worker_lease_extension(&mut self, name: &str, now: MonotonicTime) {
-        let last_answered_at = &mut self.reconciliation.last_answered_at;
-        *last_answered_at = now.max(*last_answered_at);
         if let Some(machine) = self.machines.get_mut(name) {
             machine.last_response_at = machine.last_response_at.max(now);
         }
--- a/crates/controller/src/cluster_state/mod.rs
+++ b/crates/controller/src/cluster_state/mod.rs
@@ -175,7 +175,7 @@
             machines: BTreeMap::new(),
             removed_machines: BoundedSet::new(constants::MAX_REMEMBERED_NAMES),
             unknown_job_tasks: 0,
-            reconciliation: Reconciliation::new(at.monotonic),
+            reconciliation: Reconciliation::default(),
             shard_lessor: ShardLessor::new(
                 &config.zone,
                 &config.peers,
--- a/crates/controller/src/cluster_state/reconciliation.rs
+++ b/crates/controller/src/cluster_state/reconciliation.rs
@@ -7,31 +7,15 @@
 use std::collections::BTreeSet;
 
 /// What a new leader has yet to reconcile.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Reconciliation {
-    /// Registered machines whose tasks this leader does not know yet.
+    /// Registered machines whose tasks this leader does not know yet. It does not extend the leases
+    /// of their workers.
     pub machines: BTreeSet<String>,
     /// Keys of unreadable registry records: the machines that they name are unknown.
     pub unreadable_records: BTreeSet<String>,
-    /// Latest time at which an earlier leader, or this controller as a lessee, may have answered a
-    /// worker that has sent this leader no heartbeat, and so extended its lease. Answers of other
-    /// controllers as lessees are not included: the shard lessor tracks them.
-    pub last_answered_at: MonotonicTime,
-    /// Whether the end of reconciliation has been logged.
-    is_end_logged: bool,
-}
-
-impl Reconciliation {
-    /// Creates an empty reconciliation of a leader that was elected at `elected_at`: until then
-    /// workers may have been answered by an earlier leader.
-    pub fn new(elected_at: MonotonicTime) -> Self {
-        Self {
-            machines: BTreeSet::new(),
-            unreadable_records: BTreeSet::new(),
-            last_answered_at: elected_at,
-            is_end_logged: false,
-        }
-    }
+    /// Whether reconciliation has ended. Then nothing is left to reconcile.
+    has_ended: bool,
 }
 
 impl ClusterState {
@@ -39,19 +23,20 @@
     /// each registered machine has sent this leader a message that names all of its tasks, the
     /// machine has failed or no longer exists, or the lease of its worker has certainly expired.
     /// With an unreadable registry record, reconciliation ends only when all leases of unreconciled
-    /// workers have expired.
+    /// workers have expired. Once it has ended, it does not begin again.
     pub fn is_reconciled(&self, now: MonotonicTime) -> bool {
         let all_known = self.reconciliation.machines.is_empty()
             && self.reconciliation.unreadable_records.is_empty();
-        all_known || self.unreconciled_leases_expired(now)
+        self.reconciliation.has_ended || all_known || self.unreconciled_leases_expired(now)
     }
 
-    /// Logs the end of reconciliation, once.
-    pub(super) fn log_reconciliation_end(&mut self, now: MonotonicTime) {
-        if self.reconciliation.is_end_logged || !self.is_reconciled(now) {
+    /// Ends reconciliation if nothing is left to reconcile at `now`. Called before shard leases are
+    /// granted: from then on the extensions of their lessees count in
+    /// [`Self::unreconciled_leases_expired`].
+    pub(super) fn end_reconciliation_if_due(&mut self, now: MonotonicTime) {
+        if self.reconciliation.has_ended || !self.is_reconciled(now) {
             return;
         }
-        self.reconciliation.is_end_logged = true;
         let after_s = seconds_f64(now.saturating_duration_since(self.clocks.elected_at()));
         let unreconciled = self.reconciliation.machines.len();
         let unreadable = self.reconciliation.unreadable_records.len();
@@ -62,13 +47,16 @@
             unreadable,
             "reconciled with earlier terms"
         );
+        self.commit_queue.registry.treat_unreadable_as_empty();
+        self.reconciliation = Reconciliation { has_ended: true, ..Reconciliation::default() };
     }
 
-    /// Whether the leases of all workers without a heartbeat to this leader have certainly expired
-    /// at `now`.
-    pub(super) fn unreconciled_leases_expired(&self, now: MonotonicTime) -> bool {
+    /// Whether the leases of all unreconciled workers have certainly expired at `now`. Until the
+    /// election they may have been extended by an earlier leader, or by this controller as a lessee;
+    /// this leader extends none of them.
+    fn unreconciled_leases_expired(&self, now: MonotonicTime) -> bool {
         let lease = longest_worker_lease(&self.config.platform);
-        let last_answered_at = self.reconciliation.last_answered_at;
-        self.shard_lessor.worker_lease_expired(UNKNOWN_ZONE, last_answered_at, lease, now)
+        let elected_at = self.clocks.elected_at();
+        self.shard_lessor.worker_lease_expired(UNKNOWN_ZONE, elected_at, lease, now)
     }
 }
--- a/crates/controller/src/cluster_state/scale_in.rs
+++ b/crates/controller/src/cluster_state/scale_in.rs
@@ -166,7 +166,7 @@
             j.origin == JobOrigin::EarlierTerm && j.is_active() && !j.placeable.is_empty()
         });
         let leases_expire_at =
-            self.reconciliation.last_answered_at + longest_worker_lease(&self.config.platform);
+            self.clocks.elected_at() + longest_worker_lease(&self.config.platform);
         let worthwhile = !self.is_reconciled(now)
             && earlier_job_waits
             && now + constants::UNRECONCILED_SCALE_IN_MIN_GAIN < leases_expire_at;
--- a/crates/controller/src/cluster_state/scheduling_round.rs
+++ b/crates/controller/src/cluster_state/scheduling_round.rs
@@ -58,7 +58,7 @@
     pub fn scheduling_round(&mut self, now: MonotonicTime) {
         self.last_round.at = now;
         self.expire_leases(now);
-        self.log_reconciliation_end(now);
+        self.end_reconciliation_if_due(now);
         self.admit_machines(now);
         self.repair_gangs(now);
         self.drain_machines(now);
--- a/crates/controller/tests/cluster_state/unreconciled_workers.rs
+++ b/crates/controller/tests/cluster_state/unreconciled_workers.rs
@@ -5,6 +5,8 @@
     LeaderHarness, job, listed_machine, ms, small_worker, test_config, timestamp,
 };
 use hookway_controller::cluster_state::{ControllerConfig, longest_worker_lease};
+use hookway_controller::settings::PeerController;
+use hookway_controller::shard_lease::ShardLessee;
 use hookway_testkit::{MemoryStore, ScriptedWorker};
 use hookway_time::{MonotonicTime, duration_from_seconds};
 use hookway_wire::{DirectCommands, HeartbeatResponse, JobId, JobSpec, MachineState};
@@ -249,3 +251,39 @@
     }
     assert!(!failover.unreachable.worker.is_running("req-000001/0"), "the limit is over");
 }
+
+/// Guards against a reconciliation that begins again, and then holds up the work of all machines: the leases that end
+/// it had expired, but later extensions by shard lessees, or by this controller as a lessee, were counted as extensions
+/// of these leases.
+#[test]
+fn reconciliation_that_has_ended_does_not_begin_again() {
+    let mut config = test_config();
+    let peer = PeerController {
+        name: "worker-1".into(),
+        zone: "b".into(),
+        address: "127.0.0.1:9081".into(),
+    };
+    config.peers = vec![peer];
+    let mut failover = Failover::with_delayed_start(config, job("req-000001", "array", 1));
+    let elected_at = failover.next.now;
+    let mut lessee = ShardLessee::new("worker-1", 1, ms(1_000));
+    let mut reachable = [small_worker("m-2", "b")];
+    failover.advance_to_end_of_lease(&mut reachable);
+    failover.restore_network_for_a_moment();
+    let end = failover.earlier_leases_expire_at(elected_at) + failover.unreachable.lease;
+    let mut has_ended = false;
+    while failover.next.now < end {
+        failover.step(&mut reachable);
+        let now = failover.next.now;
+        let lease = failover.next.cluster.renew_shard_lease(&lessee.renewal(now), now);
+        lessee.apply_renewal_response(lease.expect("a known controller"), now, now);
+        if has_ended {
+            failover.next.cluster.record_worker_lease_extension("m-2", now);
+        }
+        let is_reconciled = failover.next.cluster.is_reconciled(now);
+        let elapsed = now - elected_at;
+        assert!(is_reconciled || !has_ended, "not reconciled any more after {elapsed:?}");
+        has_ended = is_reconciled;
+    }
+    assert!(has_ended, "the leases of earlier terms have expired");
+}
