--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -162,6 +162,13 @@
     assert!(totals.held_messages > 3 * totals.network_interruptions, "{totals:?}");
 }
 
+/// A gang that has run gets a new attempt. The failure: a delayed start completes the gang, its worker's lease expires,
+/// and the new leader, which has last seen the other tasks wait, starts the lost one again under the same attempt.
+#[test]
+fn gang_that_ran_unnoticed_is_not_completed_under_same_attempt() {
+    run_day(678, Simulation::with_flapping_networks(678));
+}
+
 /// A replica of a daemon that must spread moves away from a machine that is drained because it is slow. The failure:
 /// the resources for the replica are free after 3.5 s but stay reserved for another 4 s, in total longer than a replica
 /// may take to move.
