Machines whose workers have not shown the leader's token get no new tasks

A new leader placed tasks on a machine that had sent one heartbeat with an old token. If the machine came and went, the task waited for it while others were free, in the worst case as long as it went on: since its heartbeats arrive, its lease was not seen to expire, and nothing had shown that commands reach it.

Change: such a machine takes tasks only once its worker has shown the token, which a probe brings about within a round trip where it can be reached; so also after reconciliation has ended by expiry.

--- a/crates/controller/src/cluster_state/heartbeat_placement.rs
+++ b/crates/controller/src/cluster_state/heartbeat_placement.rs
@@ -61,6 +61,7 @@
             || machine.reservation.is_some()
             || !machine.has_durable_registration
             || now < machine.backoff_until
+            || self.reconciliation.machines.contains(name)
             || !machine.is_admitted(now)
         {
             return None;
--- a/crates/controller/src/cluster_state/reconciliation.rs
+++ b/crates/controller/src/cluster_state/reconciliation.rs
@@ -9,12 +9,13 @@
 /// What a new leader has yet to reconcile.
 #[derive(Debug, Default)]
 pub(super) struct Reconciliation {
-    /// Registered machines whose tasks this leader does not know yet. It does not extend the leases
-    /// of their workers.
+    /// Registered machines whose workers have not shown a fencing token of this term, so that this
+    /// leader does not know their tasks. Until reconciliation has ended, it does not extend these
+    /// workers' leases. They get no new tasks, since nothing shows that commands reach them.
     pub machines: BTreeSet<String>,
     /// Keys of unreadable registry records: the machines that they name are unknown.
     pub unreadable_records: BTreeSet<String>,
-    /// Whether reconciliation has ended. Then nothing is left to reconcile.
+    /// Whether reconciliation has ended: no earlier task is left unknown, also on `machines`.
     has_ended: bool,
 }
 
@@ -48,7 +49,8 @@
             "reconciled with earlier terms"
         );
         self.commit_queue.registry.treat_unreadable_as_empty();
-        self.reconciliation = Reconciliation { has_ended: true, ..Reconciliation::default() };
+        self.reconciliation.unreadable_records.clear();
+        self.reconciliation.has_ended = true;
     }
 
     /// Whether the leases of all unreconciled workers have certainly expired at `now`. Until the
--- a/crates/controller/src/cluster_state/snapshot.rs
+++ b/crates/controller/src/cluster_state/snapshot.rs
@@ -220,6 +220,7 @@
             schedulable: !takes_no_tasks
                 && self.is_sending_heartbeats(machine, now)
                 && now >= machine.backoff_until
+                && !self.reconciliation.machines.contains(name)
                 && machine.is_admitted(now),
             booting: !machine.has_reported && !takes_no_tasks,
             excluded_jobs,
--- a/crates/controller/tests/cluster_state/unreconciled_workers.rs
+++ b/crates/controller/tests/cluster_state/unreconciled_workers.rs
@@ -9,7 +9,7 @@
 use hookway_controller::shard_lease::ShardLessee;
 use hookway_testkit::{MemoryStore, ScriptedWorker};
 use hookway_time::{MonotonicTime, duration_from_seconds};
-use hookway_wire::{DirectCommands, HeartbeatResponse, JobId, JobSpec, MachineState};
+use hookway_wire::{DirectCommands, ExitCause, HeartbeatResponse, JobId, JobSpec, MachineState};
 use std::time::Duration;
 
 /// Term of the new leader: above the fencing tokens of the first term.
@@ -287,3 +287,62 @@
     }
     assert!(has_ended, "the leases of earlier terms have expired");
 }
+
+/// Guards against work that waits for one machine which comes and goes: its heartbeats with the old token arrive, and
+/// no response and no probe reaches it, in whatever incarnation.
+#[test]
+fn machine_that_comes_and_goes_does_not_hold_up_others_after_failover() {
+    let spec = job("req-000001", "array", 2);
+    let mut failover = Failover::with_delayed_start(test_config(), spec);
+    let elected_at = failover.next.now;
+    failover.next.submit(job("req-000002", "array", 1));
+    let mut reachable =
+        [small_worker("m-2", "b"), small_worker("m-3", "b"), small_worker("m-4", "b")];
+    let older_start_by = failover.earlier_leases_expire_at(elected_at) + 2 * STEP;
+    let new_start_by = elected_at + 3 * STEP;
+    while failover.next.now < elected_at + ms(90_000) {
+        let heartbeat = failover.unreachable.worker.heartbeat();
+        failover.next.cluster.handle_heartbeat(&heartbeat, failover.next.now);
+        failover.step(&mut reachable);
+        let now = failover.next.now;
+        let is_running = |task: &str| reachable.iter().any(|worker| worker.is_running(task));
+        let new_task = "req-000002/0";
+        assert!(now < new_start_by || is_running(new_task), "{new_task} waits at {now:?}");
+        for older_task in ["req-000001/0", "req-000001/1"] {
+            assert!(
+                now < older_start_by || is_running(older_task),
+                "{older_task} waits at {now:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a failover that became slower: a worker that answers the probe is reconciled with its first
+/// heartbeat, and its lease is extended with the next one.
+#[test]
+fn failover_without_faults_reconciles_each_worker_with_its_first_heartbeat() {
+    let mut first = LeaderHarness::start();
+    let mut workers = [small_worker("m-1", "a"), small_worker("m-2", "b")];
+    first.submit(job("req-000001", "array", 3));
+    first.run_four_rounds_of_all(&mut workers);
+    let running: Vec<String> = workers.iter().flat_map(|w| w.unfinished_tasks()).collect();
+    assert_eq!(running.len(), 2, "the third task is queued");
+    workers[0].end_task(&running[0], ExitCause::Done);
+    let elected_at = first.now + ms(6_000);
+    let mut next = LeaderHarness::with_term(first.store.clone(), NEXT_TERM, elected_at);
+    for worker in &mut workers {
+        next.heartbeat(worker);
+    }
+    assert!(next.cluster.is_reconciled(elected_at), "reconciled without any delay");
+    next.advance(500);
+    for worker in &mut workers {
+        let heartbeat = worker.heartbeat();
+        let response = next.cluster.handle_heartbeat(&heartbeat, next.now).expect("a response");
+        assert!(worker.execute_response(&response), "the lease is extended");
+    }
+    next.commit_pending();
+    for worker in &mut workers {
+        next.heartbeat(worker);
+    }
+    assert_eq!(workers[0].unfinished_tasks().len(), 1, "the queued task has started");
+}
