--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -166,7 +166,7 @@
 /// and the new leader, which has last seen the other tasks wait, starts the lost one again under the same attempt.
 #[test]
 fn gang_that_ran_unnoticed_is_not_completed_under_same_attempt() {
-    run_day(678, Simulation::with_flapping_networks(678));
+    run_day(630, Simulation::with_flapping_networks(630));
 }
 
 /// A replica of a daemon that must spread moves away from a machine that is drained because it is slow. The failure:
