--- a/crates/controller/tests/simulation/mod.rs
+++ b/crates/controller/tests/simulation/mod.rs
@@ -17,6 +17,7 @@
 mod faults;
 mod flapping;
 mod gangs;
+mod invariants;
 mod leases;
 mod machines;
 mod messages;
--- a/crates/controller/tests/standby_support/mod.rs
+++ b/crates/controller/tests/standby_support/mod.rs
@@ -33,17 +33,10 @@
     let probes = harness.cluster.take_state_probes(harness.now);
     for probe in &probes {
         let name = &probe.machine;
-        let worker = workers.iter_mut().find(|worker| worker.machine_name() == name);
-        let fencing_token = harness.cluster.term();
-        let heartbeat = worker.and_then(|worker| {
-            let incarnation = worker.incarnation();
-            worker.execute_direct_commands(&hookway_wire::DirectCommands {
-                fencing_token,
-                incarnation,
-                commands: vec![],
-            })
-        });
-        harness.cluster.apply_state_probe_outcome(name, heartbeat, harness.now);
+        match workers.iter_mut().find(|worker| worker.machine_name() == name) {
+            Some(worker) => harness.answer_probe(worker),
+            None => harness.cluster.apply_state_probe_outcome(name, None, harness.now),
+        }
     }
     probes.len()
 }
