--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -149,7 +149,7 @@
 }
 
 /// Guards against a task on two machines (review case 1): the machines of a zone lose the network as a start is on its
-/// way, the leader is killed, and later the network is back for a moment. With seed 401 a task runs on two machines if
+/// way, the leader is killed, and later the network is back for a moment. With seed 403 a task runs on two machines if
 /// the new leader extends the leases of workers that have not shown its token.
 #[test]
 fn flapping_networks_start_no_task_twice() {
