Test: every job starts in time while a machine comes and goes for minutes

jobs_start_in_time_while_machine_comes_and_goes_for_minutes: after a failover a machine is reachable in every 3rd, 8th, 17th, 25th or 40th step of 0.5 s, for 300 s, so that it is reconciled, gets tasks and is lost again; jobs come every 10 s, and each must start within the users' 90 s beside free room.

--- a/crates/controller/tests/cluster_state/unreconciled_workers.rs
+++ b/crates/controller/tests/cluster_state/unreconciled_workers.rs
@@ -4,16 +4,20 @@
 use crate::harness::{
     LeaderHarness, job, listed_machine, ms, small_worker, test_config, timestamp,
 };
+use hookway_clients::Delivery;
 use hookway_controller::cluster_state::{ControllerConfig, longest_worker_lease};
 use hookway_controller::settings::PeerController;
 use hookway_controller::shard_lease::ShardLessee;
 use hookway_testkit::{MemoryStore, ScriptedWorker};
 use hookway_time::{MonotonicTime, duration_from_seconds};
 use hookway_wire::{DirectCommands, ExitCause, HeartbeatResponse, JobId, JobSpec, MachineState};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Term of the new leader: above the fencing tokens of the first term.
 const NEXT_TERM: u64 = 5_000;
+/// Time within which every job starts beside machines with free resources (target of the users).
+const WAITING_LIMIT: Duration = Duration::from_secs(90);
 /// Time between two steps of a test.
 const STEP: Duration = Duration::from_millis(500);
 
@@ -122,6 +126,40 @@
         self.unreachable.expire_lease(self.next.now);
     }
 
+    /// [`Self::step`], with direct starts. The machine `m-1` can be reached in this step or not; if not, the leader gets no
+    /// outcome of a direct start but its own time limit.
+    fn step_with_direct_starts(&mut self, reachable: &mut [ScriptedWorker], is_reachable: bool) {
+        self.step(reachable);
+        let now = self.next.now;
+        if is_reachable {
+            let heartbeat = self.unreachable.worker.heartbeat();
+            let response = self.next.cluster.handle_heartbeat(&heartbeat, now);
+            self.unreachable.receive(response.as_ref(), now);
+            self.next.probe(&mut self.unreachable.worker);
+        }
+        for start in self.next.cluster.take_direct_starts(now) {
+            let unreachable = is_reachable.then_some(&mut self.unreachable.worker);
+            let worker = reachable
+                .iter_mut()
+                .chain(unreachable)
+                .find(|worker| worker.machine_name() == start.machine);
+            let answer = worker.map(|worker| worker.execute_direct_commands(&start.commands));
+            let delivery = match answer {
+                Some(Some(heartbeat)) => Delivery::Executed(heartbeat),
+                Some(None) => Delivery::Refused,
+                None => Delivery::Indeterminate,
+            };
+            let fencing_token = start.commands.fencing_token;
+            self.next.cluster.apply_direct_dispatch_outcome(
+                &start.machine,
+                fencing_token,
+                delivery,
+                now,
+            );
+        }
+        self.next.commit_pending();
+    }
+
     /// The time by which the leases of all workers that no later leader has answered have expired.
     fn earlier_leases_expire_at(&self, elected_at: MonotonicTime) -> MonotonicTime {
         elected_at + longest_worker_lease(&self.config.platform)
@@ -346,3 +384,44 @@
     }
     assert_eq!(workers[0].unfinished_tasks().len(), 1, "the queued task has started");
 }
+
+/// Guards against jobs that wait for a machine which comes and goes for minutes after a failover: it is reachable for
+/// one heartbeat in every `period_steps` steps, so that it is reconciled, gets new tasks, and is lost again.
+#[test]
+fn jobs_start_in_time_while_machine_comes_and_goes_for_minutes() {
+    for period_steps in [3, 8, 17, 25, 40] {
+        println!("reachable in every {period_steps}th step");
+        let spec = job("req-000001", "array", 2);
+        let mut failover = Failover::with_delayed_start(test_config(), spec);
+        let elected_at = failover.next.now;
+        let mut reachable = [small_worker("m-2", "b"), small_worker("m-3", "b")];
+        let mut started_at: BTreeMap<String, MonotonicTime> = BTreeMap::new();
+        let mut submitted_at = BTreeMap::from([
+            ("req-000001/0".to_owned(), elected_at),
+            ("req-000001/1".to_owned(), elected_at),
+        ]);
+        for step in 0..600 {
+            if step % 20 == 0 {
+                let id = format!("req-{:06}", 100 + step);
+                failover.next.submit(job(&id, "array", 1));
+                submitted_at.insert(format!("{id}/0"), failover.next.now);
+            }
+            let is_reachable = step % period_steps == 0;
+            failover.step_with_direct_starts(&mut reachable, is_reachable);
+            let now = failover.next.now;
+            let workers = reachable.iter_mut().chain([&mut failover.unreachable.worker]);
+            for worker in workers {
+                for task in worker.unfinished_tasks() {
+                    let start = *started_at.entry(task.clone()).or_insert(now);
+                    if now >= start + ms(5_000) {
+                        worker.end_task(&task, ExitCause::Done);
+                    }
+                }
+            }
+            for (task, submitted) in &submitted_at {
+                let is_late = now >= *submitted + WAITING_LIMIT;
+                assert!(!is_late || started_at.contains_key(task), "{task} waits at {now:?}");
+            }
+        }
+    }
+}
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -242,7 +242,7 @@
 
     /// Delivers the state probe that the leader has for the worker, if any, and the worker's answer. Probes of other
     /// workers get no answer.
-    fn probe(&mut self, worker: &mut ScriptedWorker) {
+    pub fn probe(&mut self, worker: &mut ScriptedWorker) {
         for probe in self.cluster.take_state_probes(self.now) {
             if probe.machine == worker.machine_name() {
                 self.answer_probe(worker);
