--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -412,9 +412,6 @@
                 return;
             }
             let now = Instant::now();
-            if state.machines[index].hung {
-                continue;
-            }
             let machine = &mut state.machines[index];
             if now > machine.answered_sent_at + config.lease {
                 self.0.record.line(format!(
@@ -429,6 +426,9 @@
                 machine.changed = true;
                 continue;
             }
+            if machine.hung {
+                continue;
+            }
             for t in 0..state.machines[index].tasks.len() {
                 self.move_on(&mut state, index, t, now);
             }
