Review case 5: jobs of a team at its limit wait without end after a burst

Cause: the scheduling queue puts gangs before arrays without an objective, and preemption within a team's limit goes by priority alone. An array that has a gang stopped is placed after the gang again, for ever.

Change: a script in which gangs of a class come four times as often for 12 s.

--- a/review/rig-2/src/bin/case-5.rs
+++ b/review/rig-2/src/bin/case-5.rs
@@ -1,21 +1,47 @@
-//! Case 5: the leader's process ends while a job runs, and a user asks the other nodes for the job's state.
+//! Case 5: gangs of a team come several times as often, so that two of them wait or run while an array of the team comes.
 
 use review_rig_2::ctl::{Controllers, NAMES, Settings, free_addresses};
 use review_rig_2::fleet::{Flavor, Fleet, FleetConfig};
 use review_rig_2::record::Record;
 use review_rig_2::store::{Plan, Store};
-use review_rig_2::{array, finish, has_trouble, status, submit};
+use review_rig_2::{finish, has_trouble, status, submit};
+use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
-/// "The state may lag by up to 3 s."
-const LAG: Duration = Duration::from_secs(3);
-const JOB: &str = "req-000412";
-const PIECES: u32 = 4;
+const GANGS: [&str; 3] = ["req-000501", "req-000502", "req-000503"];
+const ARRAY: &str = "req-000600";
+/// When the array comes, after the first gang.
+const ARRAY_AFTER: Duration = Duration::from_secs(14);
+/// CPUs that the team may use.
+const LIMIT: f64 = 6.0;
+const MACHINE_CPUS: f64 = 4.0;
+/// Usual time between two gangs.
+const USUAL_INTERVAL: Duration = Duration::from_secs(24);
+/// How much more often they come in the burst.
+const BURST_FACTOR: u32 = 4;
+/// "Once the troubles are over, no job is left waiting for 90 s while a machine that fits has room and its team is
+/// under its limit."
+const WAITING_LIMIT: Duration = Duration::from_secs(90);
 
 fn main() {
     std::process::exit(run());
 }
 
+fn job(id: &str, class: &str, shape: &str, rank: &str, pieces: u32, cpus: f64, guess_s: f64) -> Value {
+    json!({"NameId": id, "Lane": class, "Owner": "oaspete-cadastru", "Shape": shape, "Rank": rank, "Pieces": pieces,
+        "Vcpus": cpus, "Gpus": 0.0, "RamGb": 1.0, "Bundle": "img-01", "ImageGb": 0.2, "Flavors": null, "Yard": null,
+        "Together": false, "Spread": false, "Loaners": true, "GuessS": guess_s, "SnapshotEveryS": 0.0,
+        "SnapshotS": 0.0, "DueS": null})
+}
+
+/// What the check needs of one moment.
+struct Sample {
+    /// CPUs of the team's tasks on machines.
+    team_cpus: f64,
+    /// CPUs that are free on the machine with most room.
+    room: f64,
+}
+
 fn run() -> i32 {
     let trouble = has_trouble();
     let record = Record::create("review/5/record.txt");
@@ -30,14 +56,14 @@
     let config = FleetConfig {
         flavors: vec![Flavor {
             label: "mic",
-            cpus: 4.0,
+            cpus: MACHINE_CPUS,
             ram_gb: 8.0,
             fetch_gb_per_s: 0.8,
             ready_s: 25.0,
             hourly: 0.26,
         }],
         zones: zones.to_vec(),
-        capacity: 1,
+        capacity: 2,
         report: Duration::from_secs(2),
         lease: Duration::from_secs(14),
         gang_wait: Duration::from_secs(35),
@@ -53,7 +79,9 @@
         peer_address: None,
         stores: (0..3).map(|i| store.open(i)).collect(),
         cloud,
-        teams: "[[settings.teams]]\nname = \"echipa-registru\"\n".into(),
+        teams: format!(
+            "[[settings.teams]]\nname = \"echipa-registru\"\n[[settings.teams]]\nname = \"oaspete-cadastru\"\ncpus_max = {LIMIT:.1}\n"
+        ),
         report_s: 2.0,
         lease_s: 14.0,
         cancel_s: 44.0,
@@ -61,58 +89,74 @@
     });
     (0..3).for_each(|i| controllers.start(i));
     (0..3).for_each(|i| drop(fleet.start_machine("mic", zones[i], false, Duration::ZERO, Some(i))));
-    std::thread::sleep(Duration::from_secs(5));
-    // The tasks run for longer than this test lasts.
-    let job = array(JOB, PIECES, 2.0, 90.0);
-    fleet.add_job(&job, Duration::from_secs(100));
-    if submit(&api, &job, &record).is_none() {
-        return finish(&record, false);
-    }
-    let running = || {
-        let state = fleet.lock();
-        let tasks = state.machines.iter().flat_map(|m| &m.tasks);
-        tasks.filter(|t| t.status == "running").count() == PIECES as usize
-    };
-    let limit = Instant::now() + Duration::from_secs(30);
-    while !running() {
-        if Instant::now() > limit {
+    std::thread::sleep(Duration::from_secs(4));
+    let began = Instant::now();
+    let interval = if trouble { USUAL_INTERVAL / BURST_FACTOR } else { USUAL_INTERVAL };
+    let mut arrivals: Vec<(Duration, &str)> = (0..).zip(GANGS).map(|(n, id)| (interval * n, id)).collect();
+    arrivals.push((ARRAY_AFTER, ARRAY));
+    arrivals.sort();
+    for (after, id) in arrivals {
+        std::thread::sleep((began + after).saturating_duration_since(Instant::now()));
+        let (spec, run_s) = if id == ARRAY {
+            (job(id, "roi-verificari", "array", "high", 2, 3.0, 5.0), 5)
+        } else {
+            (job(id, "recensamant-mare", "group", "normal", 2, 2.0, 10.0), 10)
+        };
+        fleet.add_job(&spec, Duration::from_secs(run_s));
+        if submit(&api, &spec, &record).is_none() {
             return finish(&record, false);
         }
-        std::thread::sleep(Duration::from_millis(20));
     }
-    record.line("all tasks run");
-    std::thread::sleep(LAG + Duration::from_secs(5));
-    let Some(leader) = store
-        .get("lead/now")
-        .and_then(|(v, _)| NAMES.iter().position(|n| v["label"] == *n))
-    else {
-        return finish(&record, false);
-    };
-    let ask = |n: usize| {
-        let answer = status(&api[n], JOB);
-        let still = running();
-        record.line(format!("user: {JOB} at {} -> {answer:?}; all {PIECES} tasks run: {still}", NAMES[n]));
-        let Some((200, body)) = answer else { return };
-        if still && body["Status"] != "running" {
-            record.broken(format!(
-                "{} answers {:?} (running: {}), but all {PIECES} tasks of {JOB} run, for longer than {LAG:?}",
-                NAMES[n], body["Status"], body["running"]
-            ));
+    record.line("no more jobs come: the burst is over");
+    let over = Instant::now();
+    let sample = || {
+        let state = fleet.lock();
+        let used = |machine: &review_rig_2::fleet::Machine| -> f64 {
+            let tasks = machine.tasks.iter().filter(|t| t.status != "ended");
+            tasks.map(|t| state.jobs[t.piece.split('/').next().unwrap_or_default()].spec["Vcpus"].as_f64().unwrap_or(0.0)).sum()
+        };
+        let up = || state.machines.iter().filter(|m| m.up && !m.gone);
+        Sample {
+            team_cpus: up().map(used).sum(),
+            room: up().map(|m| MACHINE_CPUS - used(m)).fold(0.0, f64::max),
         }
     };
-    (0..3).for_each(ask);
-    if trouble {
-        controllers.kill(leader);
-        record.line(format!("{}, the leader, is killed", NAMES[leader]));
-    }
-    // Users poll roughly every 5 s; three of them ask at the other nodes in turn.
-    for i in 0..8 {
-        std::thread::sleep(Duration::from_millis(1000));
-        (0..3).filter(|n| *n != leader).for_each(ask);
-        if trouble && i == 4 {
-            controllers.start(leader);
-            record.line(format!("{} is back", NAMES[leader]));
+    let jobs: Vec<&str> = GANGS.into_iter().chain([ARRAY]).collect();
+    let started = |id: &str| {
+        let state = fleet.lock();
+        let done = state.done.keys().any(|piece| piece.starts_with(id));
+        done || state.machines.iter().flat_map(|m| &m.tasks).any(|t| t.piece.starts_with(id) && t.on_machine())
+    };
+    // Whether the array has waited since `over`, with room on a machine that fits and the team under its limit.
+    let mut waits = true;
+    let (mut samples, mut fits_limit) = (0u32, 0u32);
+    let mut done = 0;
+    let mut polled = Instant::now();
+    while over.elapsed() < WAITING_LIMIT && done < jobs.len() {
+        std::thread::sleep(Duration::from_millis(20));
+        let Sample { team_cpus, room } = sample();
+        samples += 1;
+        fits_limit += u32::from(team_cpus + 3.0 <= LIMIT);
+        waits &= !started(ARRAY) && room >= 3.0 && team_cpus < LIMIT;
+        if polled.elapsed() > Duration::from_secs(5) {
+            polled = Instant::now();
+            done = 0;
+            for id in &jobs {
+                let answer = status(&api[0], id);
+                record.line(format!("user: {id} -> {answer:?}; team uses {team_cpus} of {LIMIT} CPUs, most room {room}"));
+                done += usize::from(answer.is_some_and(|(c, a)| c == 200 && a["Status"] == "done"));
+            }
         }
     }
-    finish(&record, running())
+    record.line(format!("{fits_limit} of {samples} times a task of the array fitted into the team's limit"));
+    if done < jobs.len() && waits {
+        record.broken(format!(
+            "{ARRAY} has waited for {WAITING_LIMIT:?} since the burst; a machine that fits always had room, and its team \
+             was always under its limit (in {} of 100 samples a task of it fitted into the limit)",
+            fits_limit * 100 / samples.max(1)
+        ));
+    }
+    let starts = fleet.lock().starts;
+    record.line(format!("{starts} task starts, {done} of {} jobs done", jobs.len()));
+    finish(&record, done == jobs.len())
 }
