Review case 6: a small array waits beside idle machines that a gang can't use

Cause: machines are reserved for a waiting gang for as long as the machines could hold it once every running task has ended, however long that takes.

Change: a script in which a machine dies, a gang has to wait for a task of its priority that runs for 200 s, and an array of 1 CPU a task comes after it.

--- a/review/rig-2/src/bin/case-6.rs
+++ b/review/rig-2/src/bin/case-6.rs
@@ -1,21 +1,32 @@
-//! Case 6: the leader's process ends while a job runs, and a user asks the other nodes for the job's state.
+//! Case 6: a machine dies, a gang waits for a machine in use, and an array waits beside idle machines.
 
 use review_rig_2::ctl::{Controllers, NAMES, Settings, free_addresses};
 use review_rig_2::fleet::{Flavor, Fleet, FleetConfig};
 use review_rig_2::record::Record;
 use review_rig_2::store::{Plan, Store};
-use review_rig_2::{array, finish, has_trouble, status, submit};
+use review_rig_2::{finish, has_trouble, status, submit};
+use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
-/// "The state may lag by up to 3 s."
-const LAG: Duration = Duration::from_secs(3);
-const JOB: &str = "req-000412";
-const PIECES: u32 = 4;
+const LONG: &str = "req-000601";
+const GANG: &str = "req-000602";
+const ARRAY: &str = "req-000603";
+const MACHINE_CPUS: f64 = 4.0;
+/// "Once the troubles are over, no job is left waiting for 90 s while a machine that fits has room and its team is
+/// under its limit."
+const WAITING_LIMIT: Duration = Duration::from_secs(90);
 
 fn main() {
     std::process::exit(run());
 }
 
+fn job(id: &str, class: &str, shape: &str, rank: &str, pieces: u32, cpus: f64, guess_s: f64) -> Value {
+    json!({"NameId": id, "Lane": class, "Owner": "oaspete-cadastru", "Shape": shape, "Rank": rank, "Pieces": pieces,
+        "Vcpus": cpus, "Gpus": 0.0, "RamGb": 1.0, "Bundle": "img-01", "ImageGb": 0.2, "Flavors": null, "Yard": null,
+        "Together": false, "Spread": false, "Loaners": true, "GuessS": guess_s, "SnapshotEveryS": 0.0,
+        "SnapshotS": 0.0, "DueS": null})
+}
+
 fn run() -> i32 {
     let trouble = has_trouble();
     let record = Record::create("review/6/record.txt");
@@ -30,14 +41,14 @@
     let config = FleetConfig {
         flavors: vec![Flavor {
             label: "mic",
-            cpus: 4.0,
+            cpus: MACHINE_CPUS,
             ram_gb: 8.0,
             fetch_gb_per_s: 0.8,
             ready_s: 25.0,
             hourly: 0.26,
         }],
         zones: zones.to_vec(),
-        capacity: 1,
+        capacity: 0,
         report: Duration::from_secs(2),
         lease: Duration::from_secs(14),
         gang_wait: Duration::from_secs(35),
@@ -53,66 +64,84 @@
         peer_address: None,
         stores: (0..3).map(|i| store.open(i)).collect(),
         cloud,
-        teams: "[[settings.teams]]\nname = \"echipa-registru\"\n".into(),
+        teams: "[[settings.teams]]\nname = \"echipa-registru\"\n[[settings.teams]]\nname = \"oaspete-cadastru\"\n".into(),
         report_s: 2.0,
         lease_s: 14.0,
         cancel_s: 44.0,
         state: "rps = 200.0\nwrite_rps = 25.0\nvalue_kb = 8.0\ntxn_ops = 8".into(),
     });
     (0..3).for_each(|i| controllers.start(i));
-    (0..3).for_each(|i| drop(fleet.start_machine("mic", zones[i], false, Duration::ZERO, Some(i))));
-    std::thread::sleep(Duration::from_secs(5));
-    // The tasks run for longer than this test lasts.
-    let job = array(JOB, PIECES, 2.0, 90.0);
-    fleet.add_job(&job, Duration::from_secs(100));
-    if submit(&api, &job, &record).is_none() {
-        return finish(&record, false);
+    // The cloud is at its limit: it rents no more machines.
+    for i in 0..4 {
+        fleet.start_machine("mic", zones[i % 3], false, Duration::ZERO, Some(i % 3));
     }
-    let running = || {
+    std::thread::sleep(Duration::from_secs(3));
+    let send = |spec: Value, run_s: u64| {
+        fleet.add_job(&spec, Duration::from_secs(run_s));
+        submit(&api, &spec, &record).is_some()
+    };
+    let started = |id: &str| {
         let state = fleet.lock();
-        let tasks = state.machines.iter().flat_map(|m| &m.tasks);
-        tasks.filter(|t| t.status == "running").count() == PIECES as usize
+        let done = state.done.keys().any(|piece| piece.starts_with(id));
+        done || state.machines.iter().flat_map(|m| &m.tasks).any(|t| t.piece.starts_with(id) && t.on_machine())
     };
-    let limit = Instant::now() + Duration::from_secs(30);
-    while !running() {
+    if !send(job(LONG, "umplere-inactiv", "array", "normal", 1, 4.0, 200.0), 200) {
+        return finish(&record, false);
+    }
+    let limit = Instant::now() + Duration::from_secs(10);
+    while !started(LONG) {
         if Instant::now() > limit {
             return finish(&record, false);
         }
         std::thread::sleep(Duration::from_millis(20));
     }
-    record.line("all tasks run");
-    std::thread::sleep(LAG + Duration::from_secs(5));
-    let Some(leader) = store
-        .get("lead/now")
-        .and_then(|(v, _)| NAMES.iter().position(|n| v["label"] == *n))
-    else {
+    if trouble {
+        let idle = fleet.lock().machines.iter().find(|m| m.tasks.is_empty()).map(|m| m.name.clone());
+        fleet.die(&idle.unwrap_or_default());
+    }
+    let over = Instant::now();
+    std::thread::sleep(Duration::from_secs(6));
+    if !send(job(GANG, "recensamant-mare", "group", "normal", 3, 4.0, 10.0), 10) {
         return finish(&record, false);
+    }
+    std::thread::sleep(Duration::from_secs(7));
+    if !send(job(ARRAY, "roi-verificari", "array", "low", 2, 1.0, 5.0), 5) {
+        return finish(&record, false);
+    }
+    record.line(format!("the machine died {:.1} s ago", over.elapsed().as_secs_f64()));
+    let since = Instant::now();
+    // Machines that are up, and those of them without a task.
+    let machines = || {
+        let state = fleet.lock();
+        let up = || state.machines.iter().filter(|m| m.up && !m.gone);
+        (up().count(), up().filter(|m| m.tasks.iter().all(|t| t.status == "ended")).count())
     };
-    let ask = |n: usize| {
-        let answer = status(&api[n], JOB);
-        let still = running();
-        record.line(format!("user: {JOB} at {} -> {answer:?}; all {PIECES} tasks run: {still}", NAMES[n]));
-        let Some((200, body)) = answer else { return };
-        if still && body["Status"] != "running" {
-            record.broken(format!(
-                "{} answers {:?} (running: {}), but all {PIECES} tasks of {JOB} run, for longer than {LAG:?}",
-                NAMES[n], body["Status"], body["running"]
-            ));
+    let mut waits = true;
+    let mut least_idle = usize::MAX;
+    let mut polled = Instant::now();
+    let mut done = 0;
+    while since.elapsed() < WAITING_LIMIT && done < 2 {
+        std::thread::sleep(Duration::from_millis(20));
+        let (up, idle) = machines();
+        least_idle = least_idle.min(idle);
+        waits &= !started(ARRAY) && idle > 0;
+        if polled.elapsed() > Duration::from_secs(5) {
+            polled = Instant::now();
+            done = 0;
+            for id in [LONG, GANG, ARRAY] {
+                let answer = status(&api[0], id);
+                record.line(format!("user: {id} -> {answer:?}; {idle} of {up} machines without a task"));
+                done += usize::from(answer.is_some_and(|(c, a)| c == 200 && a["Status"] == "done"));
+            }
         }
-    };
-    (0..3).for_each(ask);
-    if trouble {
-        controllers.kill(leader);
-        record.line(format!("{}, the leader, is killed", NAMES[leader]));
     }
-    // Users poll roughly every 5 s; three of them ask at the other nodes in turn.
-    for i in 0..8 {
-        std::thread::sleep(Duration::from_millis(1000));
-        (0..3).filter(|n| *n != leader).for_each(ask);
-        if trouble && i == 4 {
-            controllers.start(leader);
-            record.line(format!("{} is back", NAMES[leader]));
-        }
+    if waits {
+        record.broken(format!(
+            "{ARRAY} (1 CPU a task) has waited for {WAITING_LIMIT:?}; at least {least_idle} machines of {MACHINE_CPUS} CPUs \
+             had no task all the time, and its team has no limit"
+        ));
     }
-    finish(&record, running())
+    let starts = fleet.lock().starts;
+    record.line(format!("{starts} task starts"));
+    finish(&record, done == 2)
 }
--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -66,6 +66,8 @@
     created_at: Instant,
     pub up: bool,
     pub gone: bool,
+    /// When the machine died: it stays listed as running for roughly 30 s, then as failed until it is deleted.
+    pub died_at: Option<Instant>,
     /// Cut off: nothing is sent or received.
     pub cut: bool,
     /// The machine hangs: it carries nothing out.
@@ -163,6 +165,7 @@
             created_at: now,
             up: false,
             gone: false,
+            died_at: None,
             cut: false,
             hung: false,
             tenure: 1,
@@ -201,6 +204,17 @@
         name
     }
 
+    /// A machine stops with all that is on it.
+    pub fn die(&self, name: &str) {
+        let mut state = self.lock();
+        for machine in state.machines.iter_mut().filter(|m| m.name == name) {
+            machine.gone = true;
+            machine.died_at = Some(Instant::now());
+            self.0.record.line(format!("{name} dies with {} tasks", machine.tasks.len()));
+            machine.tasks.clear();
+        }
+    }
+
     /// Opens the cloud's address.
     pub fn open_cloud(&self) -> String {
         let fleet = self.clone();
@@ -228,10 +242,15 @@
                 let hosts: Vec<Value> = state
                     .machines
                     .iter()
-                    .filter(|m| !m.gone && m.name.as_str() > after)
+                    .filter(|m| (!m.gone || m.died_at.is_some()) && m.name.as_str() > after)
                     .map(|m| {
+                        let status = match m.died_at {
+                            Some(at) if at.elapsed() > Duration::from_secs(30) => "failed",
+                            _ if m.up => "running",
+                            _ => "booting",
+                        };
                         json!({"NameId": m.name, "Addr": m.address, "Flavor": m.flavor, "Yard": m.zone,
-                            "Loaners": m.spot, "Status": if m.up { "running" } else { "booting" },
+                            "Loaners": m.spot, "Status": status,
                             "AgeS": m.created_at.elapsed().as_secs_f64()})
                     })
                     .collect();
@@ -245,6 +264,7 @@
                 let mut state = self.lock();
                 for machine in state.machines.iter_mut().filter(|m| names.contains(&m.name.as_str())) {
                     machine.gone = true;
+                    machine.died_at = None;
                     machine.tasks.clear();
                     self.0.record.line(format!("cloud: {} deleted", machine.name));
                 }
