--- a/review/rig-2/src/ctl.rs
+++ b/review/rig-2/src/ctl.rs
@@ -27,12 +27,15 @@
     children: Vec<Option<Child>>,
 }
 
-/// Reserves free ports by opening and closing them.
+/// Returns addresses with free ports, below those that the system gives to connections, so that the port of a controller
+/// whose process has ended stays free for the next one.
 pub fn free_addresses(count: usize) -> Vec<String> {
-    let listeners: Vec<_> = (0..count)
-        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    listeners.iter().map(|l| l.local_addr().expect("an address").to_string()).collect()
+    const FIRST_PORT: u32 = 12_000;
+    const PORTS: u32 = 18_000;
+    let offset = std::process::id() * 16 % PORTS;
+    let addresses = (0..PORTS).map(|i| format!("127.0.0.1:{}", FIRST_PORT + (offset + i) % PORTS));
+    let is_free = |address: &String| std::net::TcpListener::bind(address).is_ok();
+    addresses.filter(is_free).take(count).collect()
 }
 
 impl Controllers {
--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -101,6 +101,8 @@
     /// Tasks that completed: started again, they exit with `done` as soon as they have their image.
     pub done: HashMap<String, Instant>,
     pub starts: usize,
+    /// Tasks whose next attempt fails with `error` soon after its start.
+    pub fails: Vec<String>,
 }
 
 /// Called for each answered report: machine, index of the node, status and answer.
@@ -125,6 +127,7 @@
             next_machine: 1,
             done: HashMap::new(),
             starts: 0,
+            fails: vec![],
         };
         Self(Arc::new(Shared { config, state: Mutex::new(state), record, answered }))
     }
@@ -495,6 +498,13 @@
                     set(state, "ended", Some("incomplete"));
                 }
             }
+            "running"
+                if now >= task.since + Duration::from_millis(300) && state.fails.contains(&task.piece) =>
+            {
+                state.fails.retain(|piece| *piece != task.piece);
+                self.0.record.line(format!("{name}: {} try {} fails with error", task.piece, task.attempt));
+                set(state, "ended", Some("error"));
+            }
             "running" if job.spec["Shape"] != "daemon" && now >= task.since + job.run => {
                 state.done.insert(task.piece.clone(), now);
                 self.0.record.line(format!("{name}: {} try {} done", task.piece, task.attempt));
