--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,13 @@
 # TROUBLE=0: without the disruption. Build before with the command of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/hookway ] && [ -x target/review-2/release/case-7 ] || exit 2
-exec timeout --kill-after=5 115 target/review-2/release/case-7
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+# At the time limit, all processes of the case are ended with it: they share its process group.
+timeout --kill-after=3 115 target/review-2/release/case-7
+status=$?
+rm -rf "$TMPDIR"
+case $status in
+0 | 1) exit "$status" ;;
+*) exit 2 ;;
+esac
--- a/review/rig-2/src/bin/case-6.rs
+++ b/review/rig-2/src/bin/case-6.rs
@@ -109,6 +109,11 @@
     if !sent || !wait_for(&ready) {
         return finish(&record, false);
     }
+    // The short job is over for its user as well, so nothing is lost with its machine.
+    let is_done = || status(&api[0], SHORT).is_some_and(|(c, a)| c == 200 && a["Status"] == "done");
+    if !wait_for(&is_done) {
+        return finish(&record, false);
+    }
     if trouble {
         fleet.die(&dying);
     }
--- a/review/rig-2/src/bin/case-7.rs
+++ b/review/rig-2/src/bin/case-7.rs
@@ -106,10 +106,11 @@
         record.line(format!("{}, the leader, is killed", NAMES[leader]));
     }
     // Users poll roughly every 5 s; three of them ask at the other nodes in turn.
-    for i in 0..8 {
+    for i in 0..12 {
         std::thread::sleep(Duration::from_millis(1000));
         (0..3).filter(|n| *n != leader).for_each(ask);
-        if trouble && i == 4 {
+        // Back about 8 s after its end.
+        if trouble && i == 7 {
             controllers.start(leader);
             record.line(format!("{} is back", NAMES[leader]));
         }
--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -366,6 +366,23 @@
         }
     }
 
+    /// Whether a machine has the resources for one more task; tasks that wait for their image count.
+    fn has_room(&self, state: &State, index: usize, piece: &str) -> bool {
+        let machine = &state.machines[index];
+        let request = |piece: &str, name: &str| {
+            let job = state.jobs.get(piece.split('/').next().unwrap_or_default());
+            job.and_then(|job| job.spec[name].as_f64()).unwrap_or(0.0)
+        };
+        let used = |name: &str| -> f64 {
+            machine.tasks.iter().filter(|t| t.status != "ended").map(|t| request(&t.piece, name)).sum()
+        };
+        let flavor = self.0.config.flavors.iter().find(|f| f.label == machine.flavor);
+        flavor.is_some_and(|f| {
+            used("Vcpus") + request(piece, "Vcpus") <= f.cpus + 1e-6
+                && used("RamGb") + request(piece, "RamGb") <= f.ram_gb + 1e-6
+        })
+    }
+
     fn execute(&self, state: &mut State, index: usize, orders: &Value) {
         let now = Instant::now();
         for order in orders.as_array().into_iter().flatten() {
@@ -373,15 +390,17 @@
             let attempt = order["Try"].as_u64().unwrap_or(0);
             let known_job =
                 state.jobs.contains_key(piece.split('/').next().unwrap_or_default());
+            let has_room = self.has_room(state, index, &piece);
             let machine = &mut state.machines[index];
             let name = machine.name.clone();
             let at = machine.tasks.iter().position(|t| t.piece == piece && t.attempt == attempt);
             match (order["Verb"].as_str(), at) {
                 (Some("run"), None) => {
                     let busy = machine.tasks.iter().any(|t| t.piece == piece && t.status != "ended");
-                    let (status, cause) = match (known_job, busy) {
-                        (false, _) => ("ended", Some("unknown")),
-                        (_, true) => ("ended", Some("busy")),
+                    let (status, cause) = match (known_job, busy, has_room) {
+                        (false, ..) => ("ended", Some("unknown")),
+                        (_, true, _) => ("ended", Some("busy")),
+                        (.., false) => ("ended", Some("no_room")),
                         _ => ("pulling", None),
                     };
                     self.0.record.line(format!("{name}: run {piece} try {attempt} -> {status} {cause:?}"));
