Log which answers of the store a found leader record comes from

A controller that reads a leader record under its own name takes it from a list of the keys below `lead/`, and the lease and the revision from a second read of the leader key.

1. two reads joined: record of one leader, lease and revision of the next (listed_revision != revision, foreign lease); 2. the election is carried out late, after the next leader's, so that the key really is this controller's again (listed_revision = revision, the key's term is the listed one); 3. the controller leads on with its own lease, which the store or the controller counts for too long (its own lease id).

--- a/crates/controller/src/leadership/election.rs
+++ b/crates/controller/src/leadership/election.rs
@@ -174,6 +174,14 @@
                 && record.controller_name == self.config.controller_name
                 && let Some(full) = store.get(LEADER_KEY).await?
             {
+                tracing::info!(
+                    listed_revision = pair.mod_revision,
+                    listed_term = record.term,
+                    revision = full.mod_revision,
+                    term = ?full.value.get("term"),
+                    lease_id = ?full.lease_id,
+                    "leader record of this controller found"
+                );
                 pair = full;
             }
             return Ok(LeaderState::Elected(ElectedLeader {
@@ -262,7 +270,12 @@
     async fn lead(&self, leader_term: LeaderTerm, expires_at: Option<MonotonicTime>) {
         let LeaderTerm { term, lease_id, watermark_completeness, .. } = leader_term;
         let response = if expires_at.is_some() { "received" } else { "lost" };
-        tracing::info!(term, response, watermarks = %watermark_completeness, "elected leader");
+        let revision = leader_term.precondition.mod_revision;
+        tracing::info!(
+            term, response, lease_id, revision,
+            watermarks = %watermark_completeness,
+            "elected leader"
+        );
         self.config.lease.set(term, expires_at.unwrap_or(MonotonicTime::ZERO));
         self.publish(LeadershipView {
             leader: Some(self.config.controller_name.clone()),
