Stand-ins of store, cloud and workers answer with no more than the protocol promises

The stand-in of the store named the leases of keys in lists.

- store: lists without leases, in pages of 1,000 keys and 512 KiB, beginning after a key; no `failed` in a confirmed transaction; no null fields; no body after an extension or a release; 400 for a put with an ended lease (it was accepted) and for a lease length out of range; 410 after 10,000 changes; a lost answer never comes (it was a 504, which the protocol does not have)
- the store in memory, which the simulation and the harness use: lists without leases

election_writes_three_keys_and_attaches_only_first_to_lease took the leases from a list. It now lists the keys and reads each one, and compares the same three keys and leases.

The product is unchanged.

--- a/crates/controller/tests/store_keys.rs
+++ b/crates/controller/tests/store_keys.rs
@@ -97,7 +97,10 @@
         tokio::time::timeout(Duration::from_secs(10), leads).await.expect("a term within 10 s");
     let term =
         term.expect("the election actor runs").own_term.clone().expect("a term that the view has");
-    let pairs = server.with_store(|store| store.list(""));
+    let listed = server.with_store(|store| store.list(""));
+    // A list does not show the leases of the keys.
+    let read = |key: &str| server.with_store(|store| store.get(key)).expect("a listed key");
+    let pairs: Vec<_> = listed.iter().map(|listed| read(&listed.key)).collect();
     let keys: Vec<(&str, Option<u64>)> =
         pairs.iter().map(|kv| (kv.key.as_str(), kv.lease_id)).collect();
     let lease = Some(term.lease_id);
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -127,6 +127,12 @@
         self.lock().machines[machines].iter_mut().for_each(|machine| machine.partitioned = false);
     }
 
+    /// Whether requests to a machine get no response: it is partitioned or was deleted.
+    fn is_unreachable(&self, machine: usize) -> bool {
+        let machine = &self.lock().machines[machine];
+        machine.partitioned || machine.is_deleted()
+    }
+
     /// Returns all changes of tasks, oldest first.
     pub fn history(&self) -> Vec<HistoryEvent> {
         self.lock().history.clone()
--- a/crates/testkit/src/fleet/heartbeats.rs
+++ b/crates/testkit/src/fleet/heartbeats.rs
@@ -1,6 +1,7 @@
 //! The heartbeats of a fleet's workers.
 
 use super::{ControllerAddress, Fleet, FleetConfig};
+use crate::bare_json::bare_json;
 use hookway_clients::{HttpClient, HttpResponse};
 use hookway_wire::{HeartbeatRedirect, HeartbeatResponse};
 use hyper::{Method, StatusCode};
@@ -74,7 +75,7 @@
     ) -> Option<EncodedHeartbeat> {
         let mut state = self.lock();
         let now = Instant::now();
-        if state.machines[machine].deleted {
+        if state.machines[machine].is_deleted() {
             return None;
         }
         state.expire_lease(machine, now, lease);
@@ -84,7 +85,7 @@
             return None;
         }
         let heartbeat = machine.worker.heartbeat();
-        let body = serde_json::to_vec(&heartbeat).ok()?;
+        let body = serde_json::to_vec(&bare_json(&heartbeat)).ok()?;
         Some(EncodedHeartbeat { body, sent_at: now })
     }
 
--- a/crates/testkit/src/fleet/state.rs
+++ b/crates/testkit/src/fleet/state.rs
@@ -19,12 +19,19 @@
     pub(super) lease_started_at: Instant,
     /// Whether the machine neither sends heartbeats nor accepts commands.
     pub(super) partitioned: bool,
-    /// Whether the cloud has deleted the machine.
-    pub(super) deleted: bool,
+    pub(super) created_at: Instant,
+    /// When the cloud deleted the machine; `None` if it exists.
+    pub(super) deleted_at: Option<Instant>,
     /// Time of each task's last change of state, by task id.
     task_changed_at: HashMap<String, Instant>,
 }
 
+impl FleetMachine {
+    pub(super) fn is_deleted(&self) -> bool {
+        self.deleted_at.is_some()
+    }
+}
+
 /// The state that the heartbeat loops and HTTP handlers of a fleet share.
 #[derive(Default)]
 pub(super) struct FleetState {
@@ -46,7 +53,8 @@
             address,
             lease_started_at: Instant::now(),
             partitioned: false,
-            deleted: false,
+            created_at: Instant::now(),
+            deleted_at: None,
             task_changed_at: HashMap::new(),
         });
     }
@@ -94,7 +102,7 @@
                 self.violations.push(format!("{task} attempt {attempt} twice on m-{index}"));
             }
             let has_task = |machine: &FleetMachine| {
-                !machine.deleted && machine.worker.unfinished_tasks().contains(&task)
+                !machine.is_deleted() && machine.worker.unfinished_tasks().contains(&task)
             };
             let others = self.machines.iter().enumerate();
             let duplicates: Vec<String> = others
@@ -147,7 +155,7 @@
             let has_image = |found: &TaskStatus| found.state != TaskState::FetchingImage;
             self.machines.iter().any(|machine| {
                 let found = machine.worker.tasks().iter().find(is_member);
-                !machine.deleted && found.is_some_and(has_image)
+                !machine.is_deleted() && found.is_some_and(has_image)
             })
         })
     }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! Apart from the waiting time of watches, only [`Fleet`] and [`StoreServer::expire_leases_by_clock`] depend on the
 //! real clock.
 
+mod bare_json;
 mod fleet;
 mod loopback;
 mod reserved_address;
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -4,6 +4,9 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 
+/// Number of the latest changes that a watch can still return (given by the protocol).
+const RETAINED_CHANGES: u64 = 10_000;
+
 /// A store in memory, with revisions, preconditions and events. Leases expire only by [`MemoryStore::expire_lease`].
 #[derive(Debug, Default, Clone)]
 pub struct MemoryStore {
@@ -57,14 +60,16 @@
         self.commit(&transaction).unwrap_or_default()
     }
 
-    /// Returns the value of a key with its revision and lease; `None` if the key does not exist.
+    /// Returns the value of a key with its revision and lease, in one answer; `None` if the key does not exist.
     pub fn get(&self, key: &str) -> Option<KeyValue> {
         self.keys.get(key).cloned()
     }
 
-    /// Returns all keys with this prefix, in order of the keys.
+    /// Returns all keys with this prefix, in order of the keys. As the protocol has it, a list does not show the leases
+    /// of the keys.
     pub fn list(&self, prefix: &str) -> Vec<KeyValue> {
-        self.keys.values().filter(|pair| pair.key.starts_with(prefix)).cloned().collect()
+        let listed = |pair: &KeyValue| KeyValue { lease_id: None, ..pair.clone() };
+        self.keys.values().filter(|pair| pair.key.starts_with(prefix)).map(listed).collect()
     }
 
     /// Sets a key at the current revision.
@@ -100,6 +105,11 @@
         self.revision
     }
 
+    /// Whether changes right after this revision have been discarded, so that a watch can't return them.
+    pub fn is_compacted(&self, after: u64) -> bool {
+        after + RETAINED_CHANGES < self.revision
+    }
+
     /// Returns the changes of keys with this prefix after this revision, oldest first.
     pub fn events(&self, prefix: &str, after: u64) -> Vec<WatchEvent> {
         let is_wanted = |recorded: &&RecordedEvent| {
--- a/crates/testkit/src/store_server.rs
+++ b/crates/testkit/src/store_server.rs
@@ -44,6 +44,14 @@
 }
 
 impl ServerState {
+    /// Whether a transaction attaches a key to a lease that does not exist.
+    fn uses_ended_lease(&self, transaction: &Transaction) -> bool {
+        transaction.operations.iter().any(|operation| match operation {
+            Operation::Put { lease_id: Some(lease_id), .. } => !self.leases.contains_key(lease_id),
+            Operation::Put { lease_id: None, .. } | Operation::Delete { .. } => false,
+        })
+    }
+
     /// Whether a transaction writes a value above the limit.
     fn is_too_large(&self, transaction: &Transaction) -> bool {
         let Some(limit) = self.max_value_bytes else { return false };
--- a/crates/testkit/src/store_server/http.rs
+++ b/crates/testkit/src/store_server/http.rs
@@ -1,14 +1,23 @@
-//! HTTP handlers of the store.
+//! HTTP handlers of the store. Their responses have no more than the fields that the protocol guarantees.
 
 use super::StoreServer;
+use crate::bare_json::bare_json;
 use hookway_wire::{
-    CommitResponse, KeyPage, LeaseGrant, LeaseGrantRequest, Transaction, WatchEvent, WatchResponse,
+    KeyPage, KeyValue, LeaseGrant, LeaseGrantRequest, Transaction, WatchEvent, WatchResponse,
 };
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde_json::json;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+/// Maximum number of keys in a page of a list (given by the protocol).
+const MAX_PAGE_KEYS: usize = 1_000;
+/// Maximum total length of the keys and values in a page of a list, in bytes (given by the protocol for the response).
+const MAX_PAGE_BYTES: usize = 512 * 1_024;
+/// Lengths of a lease that may be requested, in ms (given by the protocol).
+const LEASE_TTL_RANGE_MS: RangeInclusive<u64> = 100..=600_000;
+
 /// The kinds of requests to the store.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Endpoint {
@@ -40,17 +49,9 @@
             Endpoint::List => server.list(req, res),
             Endpoint::Get => server.get(req, res),
             Endpoint::Commit => server.commit(req, res).await,
-            Endpoint::GrantLease => {
-                let request = req.parse_json::<LeaseGrantRequest>().await;
-                let ttl_ms = request.map(|request| request.ttl_ms).unwrap_or(0);
-                let lease_id = server.grant_lease_for(Duration::from_millis(ttl_ms));
-                res.render(Json(LeaseGrant { lease_id }));
-            }
-            Endpoint::ExtendLease if server.extend_lease(lease_id) => res.render(Json(json!({}))),
-            Endpoint::ReleaseLease if server.expire_lease(lease_id) => res.render(Json(json!({}))),
-            Endpoint::ExtendLease | Endpoint::ReleaseLease => {
-                res.status_code(StatusCode::NOT_FOUND);
-            }
+            Endpoint::GrantLease => server.grant(req, res).await,
+            Endpoint::ExtendLease => respond_if_lease_existed(server.extend_lease(lease_id), res),
+            Endpoint::ReleaseLease => respond_if_lease_existed(server.expire_lease(lease_id), res),
             Endpoint::Watch => server.watch(req, res).await,
         }
     }
@@ -69,17 +70,36 @@
         true
     }
 
+    async fn grant(&self, req: &mut Request, res: &mut Response) {
+        let request = req.parse_json::<LeaseGrantRequest>().await;
+        let ttl_ms = request.map(|request| request.ttl_ms).unwrap_or_default();
+        if !LEASE_TTL_RANGE_MS.contains(&ttl_ms) {
+            res.status_code(StatusCode::BAD_REQUEST);
+            return;
+        }
+        let lease_id = self.grant_lease_for(Duration::from_millis(ttl_ms));
+        res.render(Json(LeaseGrant { lease_id }));
+    }
+
+    /// Responds with a page of keys: those after the requested one, up to the limits of a page.
     fn list(&self, req: &Request, res: &mut Response) {
+        let after = req.query::<String>("After").unwrap_or_default();
+        let requested_keys = req.query::<usize>("Most").unwrap_or(MAX_PAGE_KEYS);
         let store = &self.lock().store;
-        let pairs = store.list(&prefix(req));
-        res.render(Json(KeyPage { pairs, has_next: false, revision: store.revision() }));
+        let mut remaining = store.list(&prefix(req));
+        remaining.retain(|pair| pair.key > after);
+        let page_length = page_length(&remaining, requested_keys.clamp(1, MAX_PAGE_KEYS));
+        let has_next = page_length < remaining.len();
+        remaining.truncate(page_length);
+        let page = KeyPage { pairs: remaining, has_next, revision: store.revision() };
+        res.render(Json(bare_json(&page)));
     }
 
     fn get(&self, req: &Request, res: &mut Response) {
         let key = req.param::<String>("key").unwrap_or_default();
         let store = &self.lock().store;
         match store.get(&key) {
-            Some(pair) => res.render(Json(pair)),
+            Some(pair) => res.render(Json(bare_json(&pair))),
             None => {
                 res.status_code(StatusCode::NOT_FOUND);
                 res.render(Json(json!({ "Epoch": store.revision() })));
@@ -96,18 +116,20 @@
             res.status_code(StatusCode::BAD_REQUEST);
             return res.render(Json(json!({ "error": "the value is too large" })));
         }
+        if self.lock().uses_ended_lease(&transaction) {
+            res.status_code(StatusCode::BAD_REQUEST);
+            return res.render(Json(json!({ "error": "no such lease" })));
+        }
         let outcome = self.with_store(|store| store.commit(&transaction));
-        let revision = self.lock().store.revision();
+        let current_revision = self.lock().store.revision();
         if self.consume_lost_commit_response() {
-            // To the client this is the same as a response that never arrives, without the wait for its timeout.
-            res.status_code(StatusCode::GATEWAY_TIMEOUT);
-            return;
+            return std::future::pending().await;
         }
         match outcome {
-            Ok(revision) => res.render(Json(CommitResponse { failed: vec![], revision })),
+            Ok(revision) => res.render(Json(json!({ "Epoch": revision }))),
             Err(failed) => {
                 res.status_code(StatusCode::CONFLICT);
-                res.render(Json(CommitResponse { failed, revision }));
+                res.render(Json(json!({ "failed": failed, "Epoch": current_revision })));
             }
         }
     }
@@ -116,6 +138,10 @@
     async fn watch(&self, req: &Request, res: &mut Response) {
         let prefix = prefix(req);
         let after = req.query::<u64>("After").unwrap_or_default();
+        if self.lock().store.is_compacted(after) {
+            res.status_code(StatusCode::GONE);
+            return;
+        }
         let wait = Duration::from_millis(req.query::<u64>("WaitMs").unwrap_or_default());
         let mut timeout = Box::pin(tokio::time::sleep(wait));
         let events = loop {
@@ -134,6 +160,21 @@
     }
 }
 
+/// Returns how many of these keys fit in a page of at most `max_keys` keys.
+fn page_length(pairs: &[KeyValue], max_keys: usize) -> usize {
+    let mut bytes = 0;
+    let fits = |pair: &&KeyValue| {
+        bytes += pair.key.len() + pair.value.to_string().len();
+        bytes <= MAX_PAGE_BYTES
+    };
+    pairs.iter().take(max_keys).take_while(fits).count().max(1)
+}
+
+/// Responds to a request for a lease: without a body, which the protocol does not guarantee.
+fn respond_if_lease_existed(existed: bool, res: &mut Response) {
+    res.status_code(if existed { StatusCode::OK } else { StatusCode::NOT_FOUND });
+}
+
 fn prefix(req: &Request) -> String {
     req.query::<String>("Prefix").unwrap_or_default()
 }
