A term comes of one answer of the store that proves record, revision and lease

Cause: the record came from a list of the keys below `lead/`, the lease and the revision from a later read of the leader key. If the lease of the listed record ended in between and another controller was elected, the record of one leader was joined with the lease of the next: a controller whose election got no answer led with that lease, and a process started anew revoked it as that of its previous process.

Change: `LeaderKey` holds record, revision and lease of one answer, and a `LeaderTerm` is made of nothing else: of the confirmation of the election, whose transaction wrote record and lease (`Election::won_at`), or of one read of the key (`Candidate::evaluate_leader_key`). Items of a list have no field for a lease any more (`ListedKeyValue`). What a controller concludes from the answers is a value without I/O (`Candidate`), so that the simulation can use it. If the key shows another controller, it is followed at once, and the watch begins at the key's revision; before, the watch of the older revision returned first. No request was added.

Check replaced: formats.rs compared a written page of a list with `store-page`, whose pair has a lease. The protocol's lists have none and the type can't hold one, so that line is now read (and still must give the same page), and a new pinned line is written and read exactly.

The line `leader record of this controller found` is gone with the second read that it described; `elected leader` and `revoking the lease` keep lease and revision, and two new lines tell when the leader changed between list and key.

--- a/crates/clients/src/store.rs
+++ b/crates/clients/src/store.rs
@@ -6,7 +6,8 @@
 use hookway_constants as constants;
 use hookway_time::whole_millis;
 use hookway_wire::{
-    CommitResponse, KeyPage, KeyValue, LeaseGrant, LeaseGrantRequest, Transaction, WatchResponse,
+    CommitResponse, KeyPage, KeyValue, LeaseGrant, LeaseGrantRequest, ListedKeyValue, Transaction,
+    WatchResponse,
 };
 use hyper::{Method, StatusCode};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
@@ -66,7 +67,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listing {
     /// The key-value pairs, sorted by key.
-    pub pairs: Vec<KeyValue>,
+    pub pairs: Vec<ListedKeyValue>,
     /// Revision of the store at the read of the first page, so that a watch from this revision misses no change.
     pub revision: u64,
 }
@@ -184,7 +185,7 @@
     ///
     /// Any [`StoreError`] except those of leases and watches. The pages that were already read are discarded.
     pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
-        let mut pairs: Vec<KeyValue> = Vec::new();
+        let mut pairs: Vec<ListedKeyValue> = Vec::new();
         let mut first_revision = None;
         loop {
             let last_key = pairs.last().map(|pair| pair.key.as_str());
--- a/crates/controller/src/actor/events.rs
+++ b/crates/controller/src/actor/events.rs
@@ -81,7 +81,7 @@
         let mut cluster = ClusterState::new(
             self.config.cluster.clone(),
             term,
-            active.leader_term.precondition.clone(),
+            active.leader_term.precondition(),
             machine_types.unwrap_or_default(),
             records,
             at,
--- a/crates/controller/src/actor/mod.rs
+++ b/crates/controller/src/actor/mod.rs
@@ -106,7 +106,7 @@
     /// Leads until the term ends. Gives up the leadership at once if this or a later term is known
     /// already.
     async fn lead(&mut self, leader_term: LeaderTerm) {
-        if !self.config.standby.election_won(leader_term.term, self.config.clock.now()) {
+        if !self.config.standby.election_won(leader_term.term(), self.config.clock.now()) {
             self.config.resign_requested.notify_one();
             // Waits until the election actor has given up the leadership.
             let _ = self.config.leadership_view.changed().await;
@@ -118,7 +118,7 @@
 
     /// Runs the event loop of a leader. Returns when the term has ended or a channel is closed.
     async fn lead_term(&mut self, leader_term: LeaderTerm) {
-        self.config.shard_lessee.leadership_won(leader_term.term);
+        self.config.shard_lessee.leadership_won(leader_term.term());
         let (events, mut event_receiver) = mpsc::channel(constants::CHANNEL_CAPACITY);
         let mut active =
             ActiveTerm::new(leader_term, &self.config.lease, self.config.clock, events);
--- a/crates/controller/src/actor/requests.rs
+++ b/crates/controller/src/actor/requests.rs
@@ -63,7 +63,7 @@
                 outcome => answer(reply, outcome),
             },
             ControllerRequest::AddJob { read_in_term, key, value, reply } => {
-                if read_in_term == Some(active.leader_term.term) {
+                if read_in_term == Some(active.leader_term.term()) {
                     let at = Timestamp { monotonic: now, wall: wall_clock() };
                     cluster.add_job(&key, value, at, JobOrigin::ThisTerm);
                 }
--- a/crates/controller/src/actor/store_io.rs
+++ b/crates/controller/src/actor/store_io.rs
@@ -22,7 +22,7 @@
     pub(super) fn spawn_record_read(&self, active: &mut ActiveTerm) {
         let (store, events) = (self.config.store.clone(), active.background_tasks.events.clone());
         let (term, watermark_completeness) =
-            (active.term(), active.leader_term.watermark_completeness);
+            (active.term(), active.leader_term.watermark_completeness());
         active.background_tasks.spawn(async move {
             loop {
                 match read_records(&store, watermark_completeness).await {
--- a/crates/controller/src/actor/term.rs
+++ b/crates/controller/src/actor/term.rs
@@ -39,7 +39,7 @@
         clock: Clock,
         events: mpsc::Sender<ControllerEvent>,
     ) -> Self {
-        let term = leader_term.term;
+        let term = leader_term.term();
         let authority = Authority { term, lease: lease.clone(), clock };
         Self {
             cluster: None,
@@ -54,7 +54,7 @@
     }
 
     pub(super) fn term(&self) -> u64 {
-        self.leader_term.term
+        self.leader_term.term()
     }
 
     /// Whether this controller may decide as the leader of this term at `now`.
--- a/crates/controller/src/api/mod.rs
+++ b/crates/controller/src/api/mod.rs
@@ -117,7 +117,7 @@
     /// from the store, so that the record can't be older than the term in which the leader adds its
     /// job.
     fn own_term(&self) -> Option<u64> {
-        self.config.leadership_view.borrow().own_term.as_ref().map(|own| own.term)
+        self.config.leadership_view.borrow().own_term.as_ref().map(|own| own.term())
     }
 
     /// Adds a job to the cluster state of this controller, if it still leads in `read_in_term`, the
--- a/crates/controller/src/cluster_state/recovery.rs
+++ b/crates/controller/src/cluster_state/recovery.rs
@@ -10,7 +10,7 @@
     SharedStartWatermarksRecord,
 };
 use hookway_time::{WallTime, millis_f64};
-use hookway_wire::{JobId, KeyValue};
+use hookway_wire::{JobId, KeyValue, ListedKeyValue};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
 
@@ -22,15 +22,15 @@
 #[derive(Debug, Clone)]
 pub struct LoadedRecords {
     /// Job records, under the prefix `j/`: one for each accepted job that has not ended.
-    pub jobs: Vec<KeyValue>,
+    pub jobs: Vec<ListedKeyValue>,
     /// Progress records, under the prefix `p/`.
-    pub progress: Vec<KeyValue>,
+    pub progress: Vec<ListedKeyValue>,
     /// Scheduling records of jobs and shared start watermark records, under the prefix `m/`.
-    pub scheduling: Vec<KeyValue>,
+    pub scheduling: Vec<ListedKeyValue>,
     /// Records of the machine registry, under the prefix `r/`.
-    pub registry: Vec<KeyValue>,
+    pub registry: Vec<ListedKeyValue>,
     /// Image records of version 0.1.0, under the prefix `i/`.
-    pub images: Vec<KeyValue>,
+    pub images: Vec<ListedKeyValue>,
     /// The record of the job classes; `None` if no leader has written one.
     pub classes: Option<KeyValue>,
     /// Whether the start watermarks that earlier leaders recorded are complete.
@@ -63,7 +63,7 @@
 struct JobsWithRecord(HashSet<JobId>);
 
 impl JobsWithRecord {
-    fn new(jobs: &[KeyValue]) -> Self {
+    fn new(jobs: &[ListedKeyValue]) -> Self {
         Self(jobs.iter().filter_map(|kv| job_id_in_key(&kv.key)).collect())
     }
 
@@ -77,9 +77,11 @@
     /// Restores the cluster state from all records. Jobs come first, as other records refer to
     /// them.
     pub(super) fn load_records(&mut self, loaded: LoadedRecords, at: Timestamp) {
-        let leader_records =
-            loaded.scheduling.iter().chain(&loaded.registry).chain(&loaded.classes);
+        let leader_records = loaded.scheduling.iter().chain(&loaded.registry);
         leader_records.for_each(|kv| self.commit_queue.set_mod_revision(&kv.key, kv.mod_revision));
+        if let Some(kv) = &loaded.classes {
+            self.commit_queue.set_mod_revision(&kv.key, kv.mod_revision);
+        }
         self.load_classes(loaded.classes);
         let jobs_with_record = JobsWithRecord::new(&loaded.jobs);
         let job_records = loaded.jobs.len();
@@ -134,7 +136,7 @@
         }
     }
 
-    fn load_progress(&mut self, kv: KeyValue, jobs_with_record: &JobsWithRecord) {
+    fn load_progress(&mut self, kv: ListedKeyValue, jobs_with_record: &JobsWithRecord) {
         let place = crate::records::parse_progress_key(&kv.key)
             .and_then(|(id, from)| Some((self.jobs.key(&id)?, from)));
         let Some((job, from)) = place else {
@@ -152,7 +154,7 @@
     }
 
     /// Loads a start watermark record that small jobs share. Returns `false` if it is unreadable.
-    fn load_shared_watermark_record(&mut self, kv: KeyValue, number: u64) -> bool {
+    fn load_shared_watermark_record(&mut self, kv: ListedKeyValue, number: u64) -> bool {
         match serde_json::from_value::<SharedStartWatermarksRecord>(kv.value) {
             Ok(record) => {
                 self.load_shared_watermarks(kv.key, number, record);
@@ -169,7 +171,7 @@
         }
     }
 
-    fn load_scheduling_record(&mut self, kv: KeyValue, jobs_with_record: &JobsWithRecord) {
+    fn load_scheduling_record(&mut self, kv: ListedKeyValue, jobs_with_record: &JobsWithRecord) {
         let job = job_id_in_key(&kv.key).and_then(|id| self.jobs.by_id_mut(&id));
         let Some(job) = job else {
             return self.remove_if_orphaned(kv.key, jobs_with_record);
@@ -220,7 +222,7 @@
         self.commit_queue.watermark_marker.records_loaded(stored, assumed, all_jobs_readable);
     }
 
-    fn load_registry_record(&mut self, kv: KeyValue, at: Timestamp) {
+    fn load_registry_record(&mut self, kv: ListedKeyValue, at: Timestamp) {
         let Some(name) = kv.key.strip_prefix(crate::records::REGISTRY_PREFIX) else { return };
         let Some(number) = MachineRegistry::record_number(name) else {
             let at_ms = kv.value.get("at_ms").and_then(serde_json::Value::as_u64);
@@ -252,7 +254,7 @@
 
     /// Loads a machine's cached images from a record of version 0.1.0, and queues the deletion of
     /// the record: from now on the machine registry holds the images.
-    fn load_legacy_images(&mut self, kv: KeyValue) {
+    fn load_legacy_images(&mut self, kv: ListedKeyValue) {
         let name = kv.key.strip_prefix(crate::records::LEGACY_IMAGES_PREFIX).unwrap_or_default();
         if let Ok(record) = serde_json::from_value::<LegacyImagesRecord>(kv.value) {
             let images = self.images.with_ids(&record.images);
--- a/crates/controller/src/leadership/campaign.rs
+++ b/crates/controller/src/leadership/campaign.rs
@@ -1,8 +1,10 @@
 //! What a candidate reads from the store before an election, and the transaction that wins it.
 
+use super::leader_key::LeaderKey;
+use super::term::LeaderTerm;
 use crate::records::{COMPLETE_WATERMARKS_KEY, LEADER_KEY, LEADER_TERM_KEY, LeaderRecord};
 use hookway_constants as constants;
-use hookway_wire::{KeyValue, Operation, Precondition, Transaction};
+use hookway_wire::{ListedKeyValue, Operation, Precondition, Transaction};
 use std::fmt;
 
 /// Whether the start watermarks that the leaders of earlier terms stored are complete.
@@ -23,7 +25,7 @@
     /// A leader that did not receive the response to its election reads the keys after the
     /// election. The result is the same as before it: the election marked the watermarks of its own
     /// term as complete only if those of all earlier terms were.
-    pub fn read(keys: &[KeyValue]) -> Self {
+    pub fn read(keys: &[ListedKeyValue]) -> Self {
         let value = |key: &str| keys.iter().find(|pair| pair.key == key).map(|pair| &pair.value);
         match (value(LEADER_TERM_KEY), value(COMPLETE_WATERMARKS_KEY)) {
             (term, marker) if term == marker => Self::Complete,
@@ -61,7 +63,7 @@
 
 impl LeaderlessState {
     /// Parses `keys`, the keys below `lead/`. Assumes that there is no leader.
-    pub fn read(keys: &[KeyValue]) -> Self {
+    pub fn read(keys: &[ListedKeyValue]) -> Self {
         let term = keys.iter().find(|pair| pair.key == LEADER_TERM_KEY);
         Self {
             last_fencing_token: term.and_then(|pair| pair.value.as_u64()).unwrap_or(0),
@@ -75,8 +77,8 @@
         self.last_fencing_token + 1
     }
 
-    /// Returns the transaction that wins the election. It writes the leader record, attached to the
-    /// lease `lease_id`, and reserves all fencing tokens of the term by writing the last one to
+    /// Returns the election with this leader record. Its transaction writes the record, attached to
+    /// the lease `lease_id`, and reserves all fencing tokens of the term by writing the last one to
     /// `lead/term`.
     ///
     /// If the start watermarks are complete, the transaction marks them as complete for the new
@@ -88,9 +90,9 @@
     /// Fails if the leader record can't be serialized.
     pub fn election(
         &self,
-        leader: &LeaderRecord,
+        record: LeaderRecord,
         lease_id: u64,
-    ) -> Result<Transaction, serde_json::Error> {
+    ) -> Result<Election, serde_json::Error> {
         let last_fencing_token = serde_json::json!(last_fencing_token(self.next_term()));
         let preconditions = vec![
             Precondition { key: LEADER_KEY.into(), mod_revision: 0 },
@@ -99,7 +101,7 @@
         let mut operations = vec![
             Operation::Put {
                 key: LEADER_KEY.into(),
-                value: serde_json::to_value(leader)?,
+                value: serde_json::to_value(&record)?,
                 lease_id: Some(lease_id),
             },
             Operation::put(LEADER_TERM_KEY, last_fencing_token.clone()),
@@ -107,6 +109,34 @@
         if self.watermark_completeness == WatermarkCompleteness::Complete {
             operations.push(Operation::put(COMPLETE_WATERMARKS_KEY, last_fencing_token));
         }
-        Ok(Transaction { preconditions, operations })
+        Ok(Election {
+            transaction: Transaction { preconditions, operations },
+            record,
+            lease_id,
+            watermark_completeness: self.watermark_completeness,
+        })
+    }
+}
+
+/// An election that a candidate takes part in.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Election {
+    transaction: Transaction,
+    record: LeaderRecord,
+    lease_id: u64,
+    watermark_completeness: WatermarkCompleteness,
+}
+
+impl Election {
+    /// Returns the transaction that wins the election if the store applies it.
+    pub fn transaction(&self) -> &Transaction {
+        &self.transaction
+    }
+
+    /// Returns the term that the election has begun. `mod_revision` is the revision in the store's
+    /// confirmation that it applied the transaction.
+    pub fn won_at(self, mod_revision: u64) -> LeaderTerm {
+        let key = LeaderKey::from_election(self.record, self.lease_id, mod_revision);
+        LeaderTerm::new(key, self.watermark_completeness)
     }
 }
--- a/crates/controller/src/leadership/election.rs
+++ b/crates/controller/src/leadership/election.rs
@@ -1,14 +1,16 @@
 //! The election actor: campaigns for leadership, extends the leadership lease and detects its loss.
 
-use super::campaign::{LeaderlessState, WatermarkCompleteness};
+use super::campaign::LeaderlessState;
+use super::candidate::{Candidate, LeaderKeyOutcome, ListingOutcome, ObservedLeader};
 use super::clock::Clock;
+use super::leader_key::LeaderKey;
 use super::lease::{LeadershipLease, lease_expiry};
 use super::term::{LeaderTerm, LeadershipView};
-use crate::records::{LEADER_KEY, LEADER_PREFIX, LeaderRecord};
+use crate::records::{LEADER_KEY, LEADER_PREFIX};
 use hookway_clients::{CommitOutcome, Listing, StoreClient, StoreError};
 use hookway_constants as constants;
 use hookway_time::{MonotonicTime, whole_millis};
-use hookway_wire::{Precondition, WatchEvent};
+use hookway_wire::WatchEvent;
 use rand::RngExt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -46,26 +48,7 @@
 #[derive(Debug)]
 pub struct ElectionActor {
     config: ElectionActorConfig,
-    /// Distinguishes the campaigns of this actor from those of earlier processes of the same name.
-    nonce: u64,
-}
-
-/// The leadership according to the store.
-enum LeaderState {
-    Elected(ElectedLeader),
-    Leaderless(LeaderlessState),
-}
-
-/// The leader record, and the metadata of its key.
-struct ElectedLeader {
-    record: LeaderRecord,
-    mod_revision: u64,
-    lease_id: Option<u64>,
-    /// The revision of the store at which the key was read. Later changes have higher revisions.
-    read_at_revision: u64,
-    /// Whether the start watermarks of the terms before this leader's were complete. Valid only if
-    /// the leader is this process.
-    watermark_completeness: WatermarkCompleteness,
+    candidate: Candidate,
 }
 
 /// Why a term ended.
@@ -80,59 +63,83 @@
 impl ElectionActor {
     /// Creates the actor. It does nothing until [`run`](Self::run) is called.
     pub fn new(config: ElectionActorConfig) -> Self {
-        Self { config, nonce: rand::rng().random() }
+        let candidate = Candidate::new(&config.controller_name, rand::rng().random());
+        Self { config, candidate }
     }
 
     /// Follows or campaigns, depending on who leads, until the process ends.
     pub async fn run(mut self) {
         loop {
-            match self.read_leader().await {
-                Ok(LeaderState::Elected(leader)) => self.leader_found(leader).await,
-                Ok(LeaderState::Leaderless(leaderless_state)) => {
-                    self.publish_no_leader();
-                    sleep(self.election_delay()).await;
-                    self.campaign(&leaderless_state).await;
-                }
-                Err(error) => {
-                    tracing::debug!(%error, "reading the leader key failed");
-                    sleep(constants::STORE_RETRY_DELAY).await;
-                }
+            if let Err(error) = self.follow_or_campaign().await {
+                tracing::debug!(%error, "reading the leader key failed");
+                sleep(constants::STORE_RETRY_DELAY).await;
             }
         }
     }
 
-    /// Acts on an elected leader: leads if it is this process, revokes the lease of an earlier
-    /// process of this controller, or watches another controller.
-    async fn leader_found(&mut self, leader: ElectedLeader) {
-        let record = leader.record;
-        if record.controller_name == self.config.controller_name
-            && let Some(lease_id) = leader.lease_id
-        {
-            if record.nonce == self.nonce {
-                // This process won the election but did not receive the response. It is unknown
-                // here when the lease was granted, so the lease counts as expired until its first
-                // extension.
-                let watermarks = leader.watermark_completeness;
-                let term = term_of_record(&record, leader.mod_revision, lease_id, watermarks);
-                self.lead(term, None).await;
-                self.nonce = rand::rng().random();
-            } else {
-                // Only one process at a time runs under this name, so the leader is an earlier
-                // process that has ended. Its transactions that are still in flight carry the
-                // precondition of its term and fail once its lease is revoked.
-                tracing::info!(lease_id, "revoking the lease of the previous process");
-                if self.config.store.release_lease(lease_id).await.is_err() {
-                    sleep(constants::STORE_RETRY_DELAY).await;
-                }
+    /// Reads who leads, and follows that controller, leads or campaigns until this may have changed.
+    async fn follow_or_campaign(&mut self) -> Result<(), StoreError> {
+        let Listing { pairs, revision } = self.config.store.list(LEADER_PREFIX).await?;
+        match self.candidate.evaluate_listing(&pairs, revision) {
+            ListingOutcome::Leaderless(leaderless_state) => {
+                self.publish_no_leader();
+                sleep(self.election_delay()).await;
+                self.campaign(&leaderless_state).await;
+            }
+            ListingOutcome::OtherLeader(leader) => self.follow(leader).await,
+            ListingOutcome::OwnName(listed) => {
+                let answer = self.config.store.get(LEADER_KEY).await?;
+                let outcome = self.candidate.evaluate_leader_key(&listed, answer);
+                self.leader_key_read(outcome).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Acts on a leader key that a list showed with this controller's name.
+    async fn leader_key_read(&mut self, outcome: LeaderKeyOutcome) {
+        match outcome {
+            // It is unknown here when the lease was granted, so the lease counts as expired until
+            // its first extension, which also proves that the key still exists.
+            LeaderKeyOutcome::OwnTerm(leader_term) => {
+                self.lead(leader_term, None).await;
+                self.candidate.end_term(rand::rng().random());
+            }
+            LeaderKeyOutcome::EndedTerm(key) => self.revoke_ended_term(&key).await,
+            LeaderKeyOutcome::OtherLeader(leader) => {
+                let (name, term) = (&leader.controller_name, leader.term);
+                tracing::info!(leader = name, term, "another controller was elected meanwhile");
+                self.follow(leader).await;
             }
-            return;
+            LeaderKeyOutcome::Changed => {
+                tracing::info!("leader key changed meanwhile, reading it again");
+            }
+            LeaderKeyOutcome::Unusable => {
+                tracing::error!("unusable leader record of this controller");
+                sleep(constants::STORE_RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Revokes the lease of a term under this controller's name that nobody leads: only one process
+    /// at a time runs under this name. What that term's leader has in flight carries the
+    /// precondition of its term, and fails once the lease is revoked.
+    async fn revoke_ended_term(&self, key: &LeaderKey) {
+        let (term, lease_id, revision) = (key.record().term, key.lease_id(), key.mod_revision());
+        tracing::info!(term, lease_id, revision, "revoking the lease of the previous process");
+        if self.config.store.release_lease(lease_id).await.is_err() {
+            sleep(constants::STORE_RETRY_DELAY).await;
         }
+    }
+
+    /// Follows another controller until the leader key changes.
+    async fn follow(&self, leader: ObservedLeader) {
         self.publish(LeadershipView {
-            leader: Some(record.controller_name),
-            leader_term: Some(record.term),
+            leader: Some(leader.controller_name),
+            leader_term: Some(leader.term),
             own_term: None,
         });
-        self.watch_leader(leader.read_at_revision).await;
+        self.watch_leader(leader.watch_after).await;
     }
 
     /// Returns the delay before this controller campaigns. It is random, so that the controllers do
@@ -161,40 +168,6 @@
         });
     }
 
-    /// Reads the leader record or, if there is none, what an election needs.
-    async fn read_leader(&self) -> Result<LeaderState, StoreError> {
-        let store = &self.config.store;
-        let Listing { pairs, revision } = store.list(LEADER_PREFIX).await?;
-        if let Some(pair) = pairs.iter().find(|pair| pair.key == LEADER_KEY)
-            && let Ok(record) = serde_json::from_value::<LeaderRecord>(pair.value.clone())
-        {
-            let mut pair = pair.clone();
-            // A list response may omit the lease id, which only the owner of the key needs.
-            if pair.lease_id.is_none()
-                && record.controller_name == self.config.controller_name
-                && let Some(full) = store.get(LEADER_KEY).await?
-            {
-                tracing::info!(
-                    listed_revision = pair.mod_revision,
-                    listed_term = record.term,
-                    revision = full.mod_revision,
-                    term = ?full.value.get("term"),
-                    lease_id = ?full.lease_id,
-                    "leader record of this controller found"
-                );
-                pair = full;
-            }
-            return Ok(LeaderState::Elected(ElectedLeader {
-                record,
-                mod_revision: pair.mod_revision,
-                lease_id: pair.lease_id,
-                read_at_revision: revision,
-                watermark_completeness: WatermarkCompleteness::read(&pairs),
-            }));
-        }
-        Ok(LeaderState::Leaderless(LeaderlessState::read(&pairs)))
-    }
-
     /// Watches the leader key for changes after `revision`. Returns when it changes, the watch
     /// fails, or the leader is suspected to have failed.
     async fn watch_leader(&self, mut revision: u64) {
@@ -235,22 +208,13 @@
                 return sleep(constants::STORE_RETRY_DELAY).await;
             }
         };
-        let record = LeaderRecord {
-            controller_name: self.config.controller_name.clone(),
-            term: leaderless_state.next_term(),
-            nonce: self.nonce,
-        };
-        let Ok(election) = leaderless_state.election(&record, lease_id) else { return };
-        match store.commit(&election).await {
+        let record = self.candidate.leader_record(leaderless_state);
+        let term = record.term;
+        let Ok(election) = leaderless_state.election(record, lease_id) else { return };
+        match store.commit(election.transaction()).await {
             Ok(CommitOutcome::Applied(revision)) => {
                 let expires_at = lease_expiry(sent_at, self.config.lease_length);
-                let term = term_of_record(
-                    &record,
-                    revision,
-                    lease_id,
-                    leaderless_state.watermark_completeness,
-                );
-                self.lead(term, Some(expires_at)).await;
+                self.lead(election.won_at(revision), Some(expires_at)).await;
             }
             Ok(CommitOutcome::PreconditionFailed(_)) => {
                 let _ = store.release_lease(lease_id).await;
@@ -258,7 +222,7 @@
             // It is unknown whether the transaction was applied. The next read of the leader key
             // tells, by the nonce in the leader record.
             Err(error) => {
-                tracing::debug!(%error, term = record.term, "campaigning failed");
+                tracing::debug!(%error, term, "campaigning failed");
                 sleep(constants::STORE_RETRY_DELAY).await;
             }
         }
@@ -268,14 +232,8 @@
     /// of the lease; `None` if it is unknown: the lease then counts as expired and is extended at
     /// once.
     async fn lead(&self, leader_term: LeaderTerm, expires_at: Option<MonotonicTime>) {
-        let LeaderTerm { term, lease_id, watermark_completeness, .. } = leader_term;
-        let response = if expires_at.is_some() { "received" } else { "lost" };
-        let revision = leader_term.precondition.mod_revision;
-        tracing::info!(
-            term, response, lease_id, revision,
-            watermarks = %watermark_completeness,
-            "elected leader"
-        );
+        log_election(&leader_term, expires_at.is_some());
+        let (term, lease_id) = (leader_term.term(), leader_term.lease_id());
         self.config.lease.set(term, expires_at.unwrap_or(MonotonicTime::ZERO));
         self.publish(LeadershipView {
             leader: Some(self.config.controller_name.clone()),
@@ -319,18 +277,13 @@
     }
 }
 
-/// Returns the term of `record`, which was written at `mod_revision`. Durable writes of the term
-/// have the precondition that the leader key still has this revision.
-fn term_of_record(
-    record: &LeaderRecord,
-    mod_revision: u64,
-    lease_id: u64,
-    watermark_completeness: WatermarkCompleteness,
-) -> LeaderTerm {
-    LeaderTerm {
-        term: record.term,
-        precondition: Precondition { key: LEADER_KEY.into(), mod_revision },
-        lease_id,
-        watermark_completeness,
-    }
+fn log_election(leader_term: &LeaderTerm, response_received: bool) {
+    tracing::info!(
+        term = leader_term.term(),
+        response = if response_received { "received" } else { "lost" },
+        lease_id = leader_term.lease_id(),
+        revision = leader_term.precondition().mod_revision,
+        watermarks = %leader_term.watermark_completeness(),
+        "elected leader"
+    );
 }
--- a/crates/controller/tests/formats.rs
+++ b/crates/controller/tests/formats.rs
@@ -6,7 +6,7 @@
 
 mod formats_support;
 
-use formats_support::{fixture, frame, id, json, spec, status};
+use formats_support::{fixture, frame, id, json, read_only, spec, status};
 use hookway_controller::frame::{self, CURRENT_VERSION, Frame, FrameVersion};
 use hookway_controller::peer_job_status::PeerJobStatus;
 use hookway_controller::peers::{PeerRequest, PeerResponse};
@@ -25,8 +25,9 @@
 use hookway_wire::{
     Command, CommitResponse, DirectCommands, ErrorBody, ExitCause, Heartbeat, HeartbeatRedirect,
     HeartbeatResponse, JobState, JobStatus, KeyPage, KeyValue, LeaseGrant, LeaseGrantRequest,
-    ListedMachine, MachineList, MachineNames, MachineState, MachineType, MachineTypes, Operation,
-    Precondition, ScaleOutRequest, TaskState, TaskStatus, Transaction, WatchEvent, WatchResponse,
+    ListedKeyValue, ListedMachine, MachineList, MachineNames, MachineState, MachineType,
+    MachineTypes, Operation, Precondition, ScaleOutRequest, TaskState, TaskStatus, Transaction,
+    WatchEvent, WatchResponse,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -257,7 +258,6 @@
     let pair =
         KeyValue { key: "a/b".into(), value: value.clone(), mod_revision: 412, lease_id: Some(7) };
     json("store-pair", &pair);
-    json("store-page", &KeyPage { pairs: vec![pair], has_next: true, revision: 431 });
     json("store-grant-request", &LeaseGrantRequest { ttl_ms: 5_000 });
     json("store-grant", &LeaseGrant { lease_id: 7 });
     let events = vec![
@@ -299,3 +299,13 @@
     json("cloud-listed", &listed);
     json("cloud-list", &MachineList { machines: vec![listed], has_next: true });
 }
+
+#[test]
+fn store_page_is_written_without_leases_and_read_with_or_without() {
+    let value = serde_json::json!({ "a": 1 });
+    let listed = ListedKeyValue { key: "a/b".into(), value, mod_revision: 412 };
+    let page = KeyPage { pairs: vec![listed], has_next: true, revision: 431 };
+    // The older line has a lease, which lists of the store don't show.
+    read_only("store-page", &page);
+    json("pinned-store-page", &page);
+}
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -137,9 +137,10 @@
         let leaderless_state = LeaderlessState::read(&store.list(LEADER_PREFIX));
         let controller_name = test_config().controller_name;
         let leader = LeaderRecord { controller_name, term: leaderless_state.next_term(), nonce: 0 };
-        let election =
-            leaderless_state.election(&leader, LEADERSHIP_LEASE).expect("a record that serializes");
-        let mod_revision = store.commit(&election).expect("nobody else campaigns");
+        let election = leaderless_state
+            .election(leader.clone(), LEADERSHIP_LEASE)
+            .expect("a record that serializes");
+        let mod_revision = store.commit(election.transaction()).expect("nobody else campaigns");
         let watermark_completeness = match response {
             ElectionResponse::Received => leaderless_state.watermark_completeness,
             ElectionResponse::Lost => WatermarkCompleteness::read(&store.list(LEADER_PREFIX)),
--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -13,8 +13,12 @@
 use hookway_testkit::StoreServer;
 use hookway_wire::{Operation, Transaction};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+/// Ends a test that would otherwise hang.
+const CONCLUSION_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// The election actor of one controller and its shared handles.
 struct RunningController {
     view: watch::Receiver<LeadershipView>,
@@ -61,8 +65,8 @@
     let address = server.start().await.expect("a free port");
     let mut controller_1 = start("one", &address);
     let first = wait_for_own_term(&mut controller_1).await;
-    assert_eq!(first.term, 1);
-    assert!(controller_1.lease.holds(first.term, controller_1.clock.now()));
+    assert_eq!(first.term(), 1);
+    assert!(controller_1.lease.holds(first.term(), controller_1.clock.now()));
     let mut controller_2 = start("two", &address);
     controller_2
         .view
@@ -71,19 +75,19 @@
         .expect("the election actor runs");
     assert_eq!(controller_2.view.borrow().own_term, None, "only one controller leads at a time");
     // The lease expires, as if it had not been extended in time.
-    server.expire_lease(first.lease_id);
+    server.expire_lease(first.lease_id());
     let second = tokio::select! {
         term = wait_for_own_term(&mut controller_2) => term,
         term = async { controller_1.view
-            .wait_for(|view| view.own_term.as_ref().is_some_and(|own_term| own_term.term > 1)).await
+            .wait_for(|view| view.own_term.as_ref().is_some_and(|own_term| own_term.term() > 1)).await
             .expect("the election actor runs").own_term.clone()
             .expect("a term that the view has") } => term,
     };
     // The new term exceeds every fencing token of the first term, including those of single machines.
-    assert_eq!(second.term, 1 + hookway_constants::TOKENS_PER_TERM);
+    assert_eq!(second.term(), 1 + hookway_constants::TOKENS_PER_TERM);
     // A transaction of the deposed leader that was still in flight fails its precondition.
     let late = Transaction {
-        preconditions: vec![first.precondition],
+        preconditions: vec![first.precondition()],
         operations: vec![Operation::put("f/req-000001", serde_json::json!("late"))],
     };
     assert!(server.with_store(|store| store.commit(&late)).is_err());
@@ -93,22 +97,9 @@
 async fn restarted_controller_revokes_lease_of_previous_process() {
     let server = StoreServer::default();
     let address = server.start().await.expect("a free port");
-    let lease_id = server.grant_long_lease();
-    let record = LeaderRecord { controller_name: "one".into(), term: 4, nonce: 1 };
-    let before = Transaction {
-        preconditions: vec![],
-        operations: vec![
-            Operation::Put {
-                key: LEADER_KEY.into(),
-                value: serde_json::to_value(record).expect("a leader record that serializes"),
-                lease_id: Some(lease_id),
-            },
-            Operation::put(LEADER_TERM_KEY, serde_json::json!(4)),
-        ],
-    };
-    server.with_store(|store| store.commit(&before)).expect("applied");
+    let lease_id = store_earlier_process(&server, "one");
     let mut controller_1 = start("one", &address);
-    assert_eq!(wait_for_own_term(&mut controller_1).await.term, 5);
+    assert_eq!(wait_for_own_term(&mut controller_1).await.term(), 5);
     assert!(!server.expire_lease(lease_id), "the lease of the previous process was revoked");
 }
 
@@ -130,8 +121,8 @@
         server.lose_next_commit_response();
         let mut controller = start("one", &address);
         let term = wait_for_own_term(&mut controller).await;
-        assert_eq!(term.term, last_fencing_token.unwrap_or(0) + 1);
-        assert_eq!(term.watermark_completeness, expected);
+        assert_eq!(term.term(), last_fencing_token.unwrap_or(0) + 1);
+        assert_eq!(term.watermark_completeness(), expected);
         let value = |key: &str| server.with_store(|store| store.get(key)).map(|pair| pair.value);
         let marked = value(COMPLETE_WATERMARKS_KEY) == value(LEADER_TERM_KEY);
         assert_eq!(marked, expected == WatermarkCompleteness::Complete);
@@ -182,12 +173,96 @@
     assert_eq!(controller_1.view.borrow().own_term, Some(first.clone()));
     // The leader's process ends, so its lease expires; the suppressed watch delivers no event.
     controller_1.election_actor.abort();
-    server.expire_lease(first.lease_id);
+    server.expire_lease(first.lease_id());
     controller_2.suspicion.notify_one();
     let limit = hookway_constants::WATCH_WAIT;
     let second = tokio::time::timeout(limit, wait_for_own_term(&mut controller_2))
         .await
         .expect("a new leader before the watch ends");
-    assert!(second.term > first.term);
-    assert_eq!(controller_2.view.borrow().leader_term, Some(second.term));
+    assert!(second.term() > first.term());
+    assert_eq!(controller_2.view.borrow().leader_term, Some(second.term()));
+}
+
+/// Writes the leader record of an earlier process of controller `name`. Returns its lease.
+fn store_earlier_process(server: &StoreServer, name: &str) -> u64 {
+    let lease_id = server.grant_long_lease();
+    let record = LeaderRecord { controller_name: name.into(), term: 4, nonce: 1 };
+    let election = Transaction {
+        preconditions: vec![],
+        operations: vec![
+            Operation::Put {
+                key: LEADER_KEY.into(),
+                value: serde_json::to_value(record).expect("a leader record that serializes"),
+                lease_id: Some(lease_id),
+            },
+            Operation::put(LEADER_TERM_KEY, serde_json::json!(4)),
+        ],
+    };
+    server.with_store(|store| store.commit(&election)).expect("applied");
+    lease_id
+}
+
+/// Waits until the store has a leader record. Returns the lease that its key is attached to.
+async fn wait_for_leader_lease(server: &StoreServer) -> u64 {
+    loop {
+        let leader = server.with_store(|store| store.get(LEADER_KEY));
+        if let Some(lease_id) = leader.and_then(|pair| pair.lease_id) {
+            return lease_id;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Waits until the controller knows a leader or leads itself.
+async fn wait_for_conclusion(controller: &mut RunningController) {
+    let concluded = |view: &LeadershipView| view.own_term.is_some() || view.leader.is_some();
+    tokio::time::timeout(CONCLUSION_TIMEOUT, controller.view.wait_for(concluded))
+        .await
+        .expect("a conclusion in time")
+        .expect("the election actor runs");
+}
+
+/// Guards against two leaders (review case 4): the response to an election is lost, the list that then shows the
+/// controller's own record is slow, and its lease ends and another controller is elected while that list is on its
+/// way. The read of the leader key shows the lease of the other controller, which is not this one's to lead with.
+#[tokio::test]
+async fn controller_that_lost_election_response_does_not_lead_with_lease_of_next_leader() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    server.lose_next_commit_response();
+    let mut controller_1 = start("one", &address);
+    let first_lease = wait_for_leader_lease(&server).await;
+    let list = server.hold_next_list_response();
+    list.wait_until_processed().await;
+    server.expire_lease(first_lease);
+    let mut controller_2 = start("two", &address);
+    let second = wait_for_own_term(&mut controller_2).await;
+    list.release();
+    wait_for_conclusion(&mut controller_1).await;
+    let view = controller_1.view.borrow().clone();
+    assert_eq!(view.own_term, None, "controller two leads");
+    assert_eq!((view.leader.as_deref(), view.leader_term), (Some("two"), Some(second.term())));
+    assert_eq!(controller_2.view.borrow().own_term, Some(second));
+}
+
+/// Guards against a leader deposed by a process that has just started (review case 4): a slow list shows the record of
+/// the controller's previous process, whose lease ends while the list is on its way, and another controller is elected.
+/// The lease that the new process reads is not that of its previous process.
+#[tokio::test]
+async fn restarted_controller_does_not_revoke_lease_of_next_leader() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let first_lease = store_earlier_process(&server, "one");
+    let list = server.hold_next_list_response();
+    let mut controller_1 = start("one", &address);
+    list.wait_until_processed().await;
+    server.expire_lease(first_lease);
+    let mut controller_2 = start("two", &address);
+    let second = wait_for_own_term(&mut controller_2).await;
+    list.release();
+    wait_for_conclusion(&mut controller_1).await;
+    let second_lease = second.lease_id();
+    assert_eq!(controller_1.view.borrow().leader.as_deref(), Some("two"));
+    assert_eq!(controller_2.view.borrow().own_term, Some(second), "its term goes on");
+    assert!(server.expire_lease(second_lease), "the lease of controller two was not revoked");
 }
--- a/crates/controller/tests/simulation/elections.rs
+++ b/crates/controller/tests/simulation/elections.rs
@@ -93,12 +93,13 @@
     fn win_election(&mut self, n: usize, leaderless_state: &LeaderlessState) -> Precondition {
         let (term, nonce) = (leaderless_state.next_term(), self.controllers[n].nonce);
         let record = LeaderRecord { controller_name: CONTROLLERS[n].0.to_owned(), term, nonce };
-        let mut election =
-            leaderless_state.election(&record, LEADERSHIP_LEASE).expect("a record that serializes");
+        let election =
+            leaderless_state.election(record, LEADERSHIP_LEASE).expect("a record that serializes");
+        let mut transaction = election.transaction().clone();
         if self.controllers[n].version == Version::Old {
-            self.replace_marker(&mut election, term);
+            self.replace_marker(&mut transaction, term);
         }
-        let mod_revision = self.store.commit(&election).expect("nobody leads");
+        let mod_revision = self.store.commit(&transaction).expect("nobody leads");
         self.counts.terms += 1;
         let expires_at = self.now + constants::DEFAULT_LEADER_LEASE;
         self.leadership = Some(StoredLeadership { controller: n, term, expires_at });
--- a/crates/controller/tests/store_keys.rs
+++ b/crates/controller/tests/store_keys.rs
@@ -103,7 +103,7 @@
     let pairs: Vec<_> = listed.iter().map(|listed| read(&listed.key)).collect();
     let keys: Vec<(&str, Option<u64>)> =
         pairs.iter().map(|kv| (kv.key.as_str(), kv.lease_id)).collect();
-    let lease = Some(term.lease_id);
+    let lease = Some(term.lease_id());
     assert_eq!(keys, [("lead/now", lease), ("lead/term", None), ("lead/watermarks", None)]);
     assert_eq!(
         (&pairs[0].value["label"], &pairs[0].value["term"]),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -17,5 +17,5 @@
 pub use reserved_address::ReservedAddress;
 pub use settings::{PLATFORM_SETTINGS, machine_types};
 pub use store::MemoryStore;
-pub use store_server::StoreServer;
+pub use store_server::{HeldResponse, StoreServer};
 pub use worker::ScriptedWorker;
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -1,6 +1,6 @@
 //! The store in memory: its keys, transactions, leases and events.
 
-use hookway_wire::{KeyValue, Operation, Transaction, WatchEvent};
+use hookway_wire::{KeyValue, ListedKeyValue, Operation, Transaction, WatchEvent};
 use serde_json::Value;
 use std::collections::BTreeMap;
 
@@ -67,8 +67,12 @@
 
     /// Returns all keys with this prefix, in order of the keys. As the protocol has it, a list does not show the leases
     /// of the keys.
-    pub fn list(&self, prefix: &str) -> Vec<KeyValue> {
-        let listed = |pair: &KeyValue| KeyValue { lease_id: None, ..pair.clone() };
+    pub fn list(&self, prefix: &str) -> Vec<ListedKeyValue> {
+        let listed = |pair: &KeyValue| ListedKeyValue {
+            key: pair.key.clone(),
+            value: pair.value.clone(),
+            mod_revision: pair.mod_revision,
+        };
         self.keys.values().filter(|pair| pair.key.starts_with(prefix)).map(listed).collect()
     }
 
--- a/crates/testkit/src/store_server.rs
+++ b/crates/testkit/src/store_server.rs
@@ -1,7 +1,10 @@
 //! The store over HTTP on loopback, with fault injection: outages, lost responses and other faults.
 
+mod held_response;
 mod http;
 
+pub use held_response::HeldResponse;
+
 use crate::MemoryStore;
 use crate::loopback::serve;
 use hookway_wire::{Operation, Transaction};
@@ -37,6 +40,8 @@
     refused_requests: usize,
     /// Whether watches return no events, as if their connections had failed unnoticed.
     watches_suppressed: bool,
+    /// Holds back the response to the next list.
+    held_list: Option<HeldResponse>,
     /// Number of transactions, from the next one on, whose responses will be lost.
     commit_responses_to_lose: usize,
     /// Maximum size of a value in bytes; `None` for no limit.
@@ -171,6 +176,13 @@
         self.lock().watches_suppressed = true;
     }
 
+    /// Holds back the response to the next list, with the keys at the time of the request, until the test releases it.
+    pub fn hold_next_list_response(&self) -> HeldResponse {
+        let held = HeldResponse::default();
+        self.lock().held_list = Some(held.clone());
+        held
+    }
+
     /// Loses the response to the next transaction, which is still processed. Further calls add one transaction each.
     pub fn lose_next_commit_response(&self) {
         self.lock().commit_responses_to_lose += 1;
--- a/crates/testkit/src/store_server/http.rs
+++ b/crates/testkit/src/store_server/http.rs
@@ -3,7 +3,7 @@
 use super::StoreServer;
 use crate::bare_json::bare_json;
 use hookway_wire::{
-    KeyPage, KeyValue, LeaseGrant, LeaseGrantRequest, Transaction, WatchEvent, WatchResponse,
+    KeyPage, LeaseGrant, LeaseGrantRequest, ListedKeyValue, Transaction, WatchEvent, WatchResponse,
 };
 use salvo::http::StatusCode;
 use salvo::prelude::*;
@@ -46,7 +46,7 @@
         }
         let lease_id = req.param::<u64>("id").unwrap_or_default();
         match endpoint {
-            Endpoint::List => server.list(req, res),
+            Endpoint::List => server.list(req, res).await,
             Endpoint::Get => server.get(req, res),
             Endpoint::Commit => server.commit(req, res).await,
             Endpoint::GrantLease => server.grant(req, res).await,
@@ -81,8 +81,18 @@
         res.render(Json(LeaseGrant { lease_id }));
     }
 
-    /// Responds with a page of keys: those after the requested one, up to the limits of a page.
-    fn list(&self, req: &Request, res: &mut Response) {
+    /// Responds with a page of keys, possibly after the response was held back.
+    async fn list(&self, req: &Request, res: &mut Response) {
+        let page = self.page(req);
+        let held = self.lock().held_list.take();
+        if let Some(held) = held {
+            held.hold().await;
+        }
+        res.render(Json(bare_json(&page)));
+    }
+
+    /// Returns a page of keys: those after the requested one, up to the limits of a page.
+    fn page(&self, req: &Request) -> KeyPage {
         let after = req.query::<String>("After").unwrap_or_default();
         let requested_keys = req.query::<usize>("Most").unwrap_or(MAX_PAGE_KEYS);
         let store = &self.lock().store;
@@ -91,8 +101,7 @@
         let page_length = page_length(&remaining, requested_keys.clamp(1, MAX_PAGE_KEYS));
         let has_next = page_length < remaining.len();
         remaining.truncate(page_length);
-        let page = KeyPage { pairs: remaining, has_next, revision: store.revision() };
-        res.render(Json(bare_json(&page)));
+        KeyPage { pairs: remaining, has_next, revision: store.revision() }
     }
 
     fn get(&self, req: &Request, res: &mut Response) {
@@ -161,9 +170,9 @@
 }
 
 /// Returns how many of these keys fit in a page of at most `max_keys` keys.
-fn page_length(pairs: &[KeyValue], max_keys: usize) -> usize {
+fn page_length(pairs: &[ListedKeyValue], max_keys: usize) -> usize {
     let mut bytes = 0;
-    let fits = |pair: &&KeyValue| {
+    let fits = |pair: &&ListedKeyValue| {
         bytes += pair.key.len() + pair.value.to_string().len();
         bytes <= MAX_PAGE_BYTES
     };
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-/// A key with its value and revision.
+/// A key with its value, revision and lease: the answer to a read of the key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct KeyValue {
@@ -21,12 +21,26 @@
     pub lease_id: Option<u64>,
 }
 
+/// A key with its value and revision in a range read, which does not show the leases of keys.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct ListedKeyValue {
+    /// Unique name of the pair, for example `lead/now`.
+    pub key: String,
+    /// Any JSON value; its format depends on the prefix of the key.
+    #[serde(rename = "V")]
+    pub value: Value,
+    /// Revision of the store at which the key was last modified.
+    #[serde(rename = "Stamp")]
+    pub mod_revision: u64,
+}
+
 /// A page of a range read.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct KeyPage {
     /// The key-value pairs of this page, sorted by key.
-    pub pairs: Vec<KeyValue>,
+    pub pairs: Vec<ListedKeyValue>,
     /// Whether there is a next page.
     #[serde(default)]
     pub has_next: bool,
