A controller does not take the record of a term that it gave up for an election without an answer

What callers saw: a leader that stepped down while it could not reach the store, so that its lease was not released, found its own record 2.5 s later and led the same term again: its lease was extended once more, the controller actor refused the term, which it knew, and stepped down again. Meanwhile nobody led.

Cause: the nonce that marks an election without an answer was renewed only after terms that were found by it, not after terms whose election was answered.

Change: the nonce ends with every term. A controller that steps down releases its lease until the store confirms it, and only then begins the pause that leaves the next term to the others; they can't campaign earlier. A lease that the store no longer has is not released any more (one request less).

--- a/crates/controller/src/leadership/election.rs
+++ b/crates/controller/src/leadership/election.rs
@@ -101,10 +101,7 @@
         match outcome {
             // It is unknown here when the lease was granted, so the lease counts as expired until
             // its first extension, which also proves that the key still exists.
-            LeaderKeyOutcome::OwnTerm(leader_term) => {
-                self.lead(leader_term, None).await;
-                self.candidate.end_term(rand::rng().random());
-            }
+            LeaderKeyOutcome::OwnTerm(leader_term) => self.lead(leader_term, None).await,
             LeaderKeyOutcome::EndedTerm(key) => self.revoke_ended_term(&key).await,
             LeaderKeyOutcome::OtherLeader(leader) => {
                 let (name, term) = (&leader.controller_name, leader.term);
@@ -198,7 +195,7 @@
     }
 
     /// Tries to win the next term and, if this succeeds, leads until the term ends.
-    async fn campaign(&self, leaderless_state: &LeaderlessState) {
+    async fn campaign(&mut self, leaderless_state: &LeaderlessState) {
         let store = &self.config.store;
         let sent_at = self.config.clock.now();
         let lease_id = match store.grant_lease(self.config.lease_length).await {
@@ -231,7 +228,7 @@
     /// Leads a term until its lease is lost or this controller resigns. `expires_at` is the expiry
     /// of the lease; `None` if it is unknown: the lease then counts as expired and is extended at
     /// once.
-    async fn lead(&self, leader_term: LeaderTerm, expires_at: Option<MonotonicTime>) {
+    async fn lead(&mut self, leader_term: LeaderTerm, expires_at: Option<MonotonicTime>) {
         log_election(&leader_term, expires_at.is_some());
         let (term, lease_id) = (leader_term.term(), leader_term.lease_id());
         self.config.lease.set(term, expires_at.unwrap_or(MonotonicTime::ZERO));
@@ -244,15 +241,27 @@
             expires_at.map_or(Duration::ZERO, |_| constants::LEADER_EXTEND_INTERVAL);
         let end = self.extend_until_lost(term, lease_id, first_extension_delay).await;
         self.config.lease.revoke(term);
+        // While its lease is not released, the record of this term stays. It is not one of an
+        // election whose response was lost.
+        self.candidate.end_term(rand::rng().random());
         tracing::info!(term, reason = ?end, "leadership lost");
         self.publish(LeadershipView::default());
-        let _ = self.config.store.release_lease(lease_id).await;
         if end == TermEnd::Resigned {
+            self.release_until_confirmed(lease_id).await;
             // Leaves the next term to another controller.
             sleep(constants::STEP_DOWN_PAUSE).await;
         }
     }
 
+    /// Releases the lease of a term that this controller has given up. Until then no other
+    /// controller can be elected.
+    async fn release_until_confirmed(&self, lease_id: u64) {
+        while let Err(error) = self.config.store.release_lease(lease_id).await {
+            tracing::debug!(%error, lease_id, "releasing the leadership lease failed");
+            sleep(constants::STORE_RETRY_DELAY).await;
+        }
+    }
+
     /// Extends the lease of `term` periodically, first after `delay`, until it is lost or this
     /// controller resigns.
     async fn extend_until_lost(&self, term: u64, lease_id: u64, mut delay: Duration) -> TermEnd {
--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -25,6 +25,7 @@
     lease: Arc<LeadershipLease>,
     clock: Clock,
     suspicion: Arc<Notify>,
+    resignation: Arc<Notify>,
     election_actor: tokio::task::JoinHandle<()>,
 }
 
@@ -34,19 +35,20 @@
     let lease = Arc::new(LeadershipLease::default());
     let clock = Clock::default();
     let suspicion = Arc::new(Notify::new());
+    let resignation = Arc::new(Notify::new());
     let election_actor = ElectionActor::new(ElectionActorConfig {
         controller_name: name.into(),
         store: StoreClient::new(address, 1_000.0),
         clock,
         lease: lease.clone(),
         leadership_view: view_tx,
-        resign_requested: Arc::new(Notify::new()),
+        resign_requested: resignation.clone(),
         leader_suspected: suspicion.clone(),
         lease_length: hookway_constants::DEFAULT_LEADER_LEASE,
         has_usable_copy: Arc::default(),
     });
     let election_actor = tokio::spawn(election_actor.run());
-    RunningController { view, lease, clock, suspicion, election_actor }
+    RunningController { view, lease, clock, suspicion, resignation, election_actor }
 }
 
 /// Waits until the controller leads and returns its term.
@@ -266,3 +268,26 @@
     assert_eq!(controller_2.view.borrow().own_term, Some(second), "its term goes on");
     assert!(server.expire_lease(second_lease), "the lease of controller two was not revoked");
 }
+
+/// Guards against a term that is led twice: a leader steps down while the store refuses its requests, so its lease is
+/// not released, and finds its own record afterwards. That record is not one of an election whose response was lost.
+#[tokio::test]
+async fn leader_that_stepped_down_without_store_does_not_lead_its_ended_term_again() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let mut controller = start("one", &address);
+    let first = wait_for_own_term(&mut controller).await;
+    server.begin_outage();
+    controller.resignation.notify_one();
+    controller
+        .view
+        .wait_for(|view| view.own_term.is_none())
+        .await
+        .expect("the election actor runs");
+    // The extension and the release are refused; the lease goes on in the store.
+    server.wait_for_refused_requests(1).await;
+    server.end_outage();
+    let next = wait_for_own_term(&mut controller).await;
+    assert_eq!(next.term(), first.term() + hookway_constants::TOKENS_PER_TERM);
+    assert!(!server.expire_lease(first.lease_id()), "the lease of the ended term was revoked");
+}
