--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -162,6 +162,29 @@
     assert!(totals.held_messages > 3 * totals.network_interruptions, "{totals:?}");
 }
 
+/// Guards against two leaders (review case 4): answers of the store are lost or slow, so that a list of the keys below
+/// `lead/` and the read of the leader key after it show different leaders, and leaders restart before their lease ends. If
+/// record and lease of the two are joined, a controller leads with the lease of another one with seed 1211, and a process
+/// that has just started revokes it with seed 1209.
+#[test]
+fn slow_elections_have_one_leader_at_a_time() {
+    let days: Vec<EventCounts> = seeds_or(1_200..1_230)
+        .map(|seed| run_day(seed, Simulation::with_slow_elections(seed)))
+        .collect();
+    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
+    println!("{totals:?}");
+    assert!(totals.terms > 8 * days.len() && totals.lost_election_responses > 60, "{totals:?}");
+    assert!(totals.terms_found_by_read > 30 && totals.revoked_terms > 30, "{totals:?}");
+    assert!(totals.leader_changes_between_reads > 15, "{totals:?}");
+}
+
+/// A daemon gets its replicas back after many failovers. The failure: its replicas have ended several times, so it counts
+/// as crash-looping and preempts nothing, and for a minute no replica gets resources while arrays start tasks.
+#[test]
+fn daemon_gets_replicas_back_after_slow_elections() {
+    run_day(1269, Simulation::with_slow_elections(1269));
+}
+
 /// A gang that has run gets a new attempt. The failure: a delayed start completes the gang, its worker's lease expires,
 /// and the new leader, which has last seen the other tasks wait, starts the lost one again under the same attempt.
 #[test]
--- a/crates/controller/tests/simulation/controllers.rs
+++ b/crates/controller/tests/simulation/controllers.rs
@@ -1,10 +1,11 @@
 //! Controllers: their processes, leadership leases and campaigns, and the steps of a leader.
 
+use super::slow_elections::PendingElectionRequest;
 use super::{CONTROLLERS, Message, Simulation, ms};
 use crate::simulation::machines::Machine;
 use hookway_constants as constants;
 use hookway_controller::cluster_state::{ClusterState, ControllerConfig, JobOrigin, Timestamp};
-use hookway_controller::leadership::lease_expiry;
+use hookway_controller::leadership::{Candidate, lease_expiry};
 use hookway_controller::settings::{OperatorSettings, PeerController, Settings};
 use hookway_controller::shard_lease::ShardLessee;
 use hookway_replication::{Follower, Publisher};
@@ -24,6 +25,8 @@
 pub(super) struct Leader {
     pub cluster: ClusterState,
     pub term: u64,
+    /// The lease in the store that it extends.
+    pub lease_id: u64,
     pub publisher: Publisher,
     /// Expiry of the leadership lease as the leader estimates it.
     pub valid_until: MonotonicTime,
@@ -45,6 +48,10 @@
     pub responses_lost_until: MonotonicTime,
     /// Distinguishes this process from earlier ones of the same controller.
     pub nonce: u64,
+    /// What it concludes about the leadership from the store's answers.
+    pub candidate: Candidate,
+    /// The request to the store whose answer its election waits for, on days with slow elections.
+    pub election_request: Option<PendingElectionRequest>,
     /// Start of the process by the simulated clock; its own clock starts at zero then.
     pub started_at: MonotonicTime,
     pub leader: Option<Leader>,
@@ -61,7 +68,7 @@
     pub workers_unreachable_until: MonotonicTime,
     pub frozen_until: MonotonicTime,
     pub down_until: MonotonicTime,
-    no_campaign_until: MonotonicTime,
+    pub no_campaign_until: MonotonicTime,
     /// When it last stepped down because no worker sent it heartbeats.
     stepped_down_at: Option<MonotonicTime>,
     /// Scheduled start of an outage of the store for all controllers.
@@ -113,6 +120,8 @@
             follower: Follower::new(CONTROLLERS[n].0),
             responses_lost_until: MonotonicTime::ZERO,
             nonce,
+            candidate: Candidate::new(CONTROLLERS[n].0, nonce),
+            election_request: None,
             started_at: starts_at,
             leader: None,
             observed_leader: None,
@@ -174,14 +183,25 @@
         self.restart_with_version(n, self.controllers[n].version);
     }
 
-    /// Kills a controller's process, and restarts it after a random delay in this version. Partitions of the controller,
-    /// except one-way ones, outlast its process.
+    /// Kills a controller's process, and restarts it after a random delay in this version.
     pub(super) fn restart_with_version(&mut self, n: usize, version: Version) {
         let nonce = self.rng.random();
         let restart_delay = match self.rng.random_range(0..2) {
             0 => self.random_duration(100, 800),
             _ => self.random_duration(1_000, 9_000),
         };
+        self.restart_after(n, version, nonce, restart_delay);
+    }
+
+    /// Kills a controller's process, and starts one with this version and nonce after `restart_delay`. Partitions of the
+    /// controller, except one-way ones, outlast its process.
+    pub(super) fn restart_after(
+        &mut self,
+        n: usize,
+        version: Version,
+        nonce: u64,
+        restart_delay: Duration,
+    ) {
         let old = &self.controllers[n];
         let partitions = (
             old.store_unreachable_until,
@@ -238,7 +258,7 @@
             return;
         }
         leader.next_extend = now + constants::LEADER_EXTEND_INTERVAL;
-        match self.leadership.as_mut().filter(|lease| lease.term == leader.term) {
+        match self.leadership.as_mut().filter(|lease| lease.lease_id == leader.lease_id) {
             Some(leadership) => {
                 leadership.expires_at = now + constants::DEFAULT_LEADER_LEASE;
                 self.counts.resumed_terms += usize::from(now >= leader.valid_until);
@@ -247,6 +267,7 @@
             None => {
                 self.controllers[n].leader = None;
                 self.controllers[n].observed_leader = None;
+                self.end_candidate_term(n);
             }
         }
     }
@@ -256,6 +277,9 @@
         if !self.can_reach_store(n) {
             return;
         }
+        if self.slow_elections.is_some() {
+            return self.step_slow_election(n);
+        }
         match &self.leadership {
             // An earlier process of this controller still holds the leadership lease.
             Some(leadership) if leadership.controller == n => self.revoke_leadership(),
@@ -314,10 +338,11 @@
             controller.no_campaign_until = now + constants::STEP_DOWN_PAUSE;
             controller.observed_leader = None;
             if self.can_reach_store(n)
-                && self.leadership.as_ref().is_some_and(|lease| lease.term == leader.term)
+                && self.leadership.as_ref().is_some_and(|lease| lease.lease_id == leader.lease_id)
             {
                 self.revoke_leadership();
             }
+            self.end_candidate_term(n);
             return false;
         }
         if self.can_reach_store(n) {
--- a/crates/controller/tests/simulation/counts.rs
+++ b/crates/controller/tests/simulation/counts.rs
@@ -40,6 +40,12 @@
     /// Messages that were held back during such an interruption and delivered after it.
     pub held_messages: usize,
     pub lost_election_responses: usize,
+    /// Answers to reads of the leader key that show another record than the list before it.
+    pub leader_changes_between_reads: usize,
+    /// Terms that began although the response to their election was lost.
+    pub terms_found_by_read: usize,
+    /// Leases of terms of earlier processes that were revoked.
+    pub revoked_terms: usize,
     /// Terms in which the store refuses all writes of the leader.
     pub terms_with_refused_writes: usize,
     /// Terms whose leader did not know whether the start watermarks of all earlier terms are complete.
@@ -75,6 +81,10 @@
             network_interruptions: self.network_interruptions + other.network_interruptions,
             held_messages: self.held_messages + other.held_messages,
             lost_election_responses: self.lost_election_responses + other.lost_election_responses,
+            leader_changes_between_reads: self.leader_changes_between_reads
+                + other.leader_changes_between_reads,
+            terms_found_by_read: self.terms_found_by_read + other.terms_found_by_read,
+            revoked_terms: self.revoked_terms + other.revoked_terms,
             terms_with_refused_writes: self.terms_with_refused_writes
                 + other.terms_with_refused_writes,
             terms_without_complete_watermarks: self.terms_without_complete_watermarks
--- a/crates/controller/tests/simulation/elections.rs
+++ b/crates/controller/tests/simulation/elections.rs
@@ -5,20 +5,19 @@
 use super::{CONTROLLERS, Simulation, StoredLeadership};
 use hookway_constants as constants;
 use hookway_controller::cluster_state::{ClusterState, LoadedRecords};
-use hookway_controller::leadership::{LeaderlessState, WatermarkCompleteness, last_fencing_token};
+use hookway_controller::leadership::{
+    LeaderTerm, LeaderlessState, WatermarkCompleteness, last_fencing_token,
+};
 use hookway_controller::records::{
-    COMPLETE_WATERMARKS_KEY, LEADER_KEY, LEADER_PREFIX, LEADER_TERM_KEY,
-    LEGACY_COMPLETE_WATERMARKS_KEY, LeaderRecord,
+    COMPLETE_WATERMARKS_KEY, LEADER_PREFIX, LEADER_TERM_KEY, LEGACY_COMPLETE_WATERMARKS_KEY,
 };
 use hookway_replication::Publisher;
 use hookway_testkit::machine_types;
 use hookway_time::MonotonicTime;
-use hookway_wire::{Operation, Precondition, Transaction};
+use hookway_wire::{Operation, Transaction};
 use rand::RngExt;
 use std::collections::BTreeSet;
-
-/// Id of the leadership lease. `Simulation::step_store` expires it, not the `MemoryStore`.
-const LEADERSHIP_LEASE: u64 = 1;
+use std::time::Duration;
 
 /// Election faults that are still to be injected.
 #[derive(Debug, Default)]
@@ -47,13 +46,27 @@
 
     /// Begins the term of controller `n`: commits its election, and creates the leader from all records in the store.
     pub(super) fn begin_term(&mut self, n: usize) {
-        let now = self.now;
         let leaderless_state = LeaderlessState::read(&self.store.list(LEADER_PREFIX));
-        let term = leaderless_state.next_term();
         let older_marker_current = self.older_marker_is_current();
-        let precondition = self.win_election(n, &leaderless_state);
+        let leader_term = self.win_election(n, &leaderless_state);
         let watermark_completeness =
             self.known_watermarks(n, &leaderless_state, older_marker_current);
+        let valid_until = leader_lease_expiry(self.now);
+        self.lead_term(n, &leader_term, watermark_completeness, valid_until);
+        self.schedule_term_end(n);
+    }
+
+    /// Creates the leader of a term that controller `n` has won, from all records in the store. `valid_until` is the
+    /// expiry of its lease as far as it knows.
+    pub(super) fn lead_term(
+        &mut self,
+        n: usize,
+        leader_term: &LeaderTerm,
+        watermark_completeness: WatermarkCompleteness,
+        valid_until: MonotonicTime,
+    ) {
+        let now = self.now;
+        let term = leader_term.term();
         let loaded = LoadedRecords {
             jobs: self.store.list("j/"),
             progress: self.store.list("p/"),
@@ -70,31 +83,35 @@
         let cluster = ClusterState::new(
             controller.config.clone(),
             term,
-            precondition,
+            leader_term.precondition(),
             machine_types(),
             loaded,
             elected_at,
         );
+        let is_extended_at_once = now >= valid_until;
+        let extend_delay =
+            if is_extended_at_once { Duration::ZERO } else { constants::LEADER_EXTEND_INTERVAL };
         let mut leader = Leader {
             cluster,
             term,
+            lease_id: leader_term.lease_id(),
             publisher: Publisher::new(term),
-            valid_until: leader_lease_expiry(now),
-            next_extend: now + constants::LEADER_EXTEND_INTERVAL,
+            valid_until,
+            next_extend: now + extend_delay,
             paused: false,
             pending_cancellations: BTreeSet::new(),
         };
         self.warm_start(n, &mut leader);
         self.controllers[n].leader = Some(leader);
-        self.schedule_term_end(n);
     }
 
-    /// Commits the election of controller `n`. Returns the precondition of its later writes.
-    fn win_election(&mut self, n: usize, leaderless_state: &LeaderlessState) -> Precondition {
-        let (term, nonce) = (leaderless_state.next_term(), self.controllers[n].nonce);
-        let record = LeaderRecord { controller_name: CONTROLLERS[n].0.to_owned(), term, nonce };
+    /// Commits the election of controller `n`. Returns the term that it begins.
+    fn win_election(&mut self, n: usize, leaderless_state: &LeaderlessState) -> LeaderTerm {
+        let lease_id = self.next_lease_id();
+        let record = self.controllers[n].candidate.leader_record(leaderless_state);
+        let term = record.term;
         let election =
-            leaderless_state.election(record, LEADERSHIP_LEASE).expect("a record that serializes");
+            leaderless_state.election(record, lease_id).expect("a record that serializes");
         let mut transaction = election.transaction().clone();
         if self.controllers[n].version == Version::Old {
             self.replace_marker(&mut transaction, term);
@@ -102,8 +119,14 @@
         let mod_revision = self.store.commit(&transaction).expect("nobody leads");
         self.counts.terms += 1;
         let expires_at = self.now + constants::DEFAULT_LEADER_LEASE;
-        self.leadership = Some(StoredLeadership { controller: n, term, expires_at });
-        Precondition { key: LEADER_KEY.into(), mod_revision }
+        self.leadership = Some(StoredLeadership { controller: n, term, lease_id, expires_at });
+        election.won_at(mod_revision)
+    }
+
+    /// Returns the id of a new lease. The store never uses an id again.
+    pub(super) fn next_lease_id(&mut self) -> u64 {
+        self.last_lease_id += 1;
+        self.last_lease_id
     }
 
     /// Changes an election to that of an older version, which writes `lead/marked` as its only marker of complete start
--- a/crates/controller/tests/simulation/faults.rs
+++ b/crates/controller/tests/simulation/faults.rs
@@ -29,6 +29,10 @@
             self.run_flapping_network();
             return self.end_faults();
         }
+        if self.slow_elections.is_some() {
+            self.restart_leader_within_lease();
+            return self.end_faults();
+        }
         self.upgrade();
         self.run_scheduled_kill();
         if self.fails_leaders_amid_gangs {
@@ -41,6 +45,14 @@
             let zone = self.rng.random_range(0..ZONES.len());
             self.zone_partitioned_until[zone] = now + self.random_duration(2_000, 70_000);
         }
+        self.inject_controller_faults();
+        self.begin_scheduled_outages();
+        self.end_faults();
+    }
+
+    /// Injects random faults of controllers: partitions, freezes and crashes.
+    fn inject_controller_faults(&mut self) {
+        let now = self.now;
         for n in 0..CONTROLLERS.len() {
             let leads = self.controllers[n].leader.is_some();
             let follower_fault_rate = if self.fails_leaders_amid_gangs { 2 } else { 8 };
@@ -70,8 +82,6 @@
                 _ => self.kill_and_restart(n),
             }
         }
-        self.begin_scheduled_outages();
-        self.end_faults();
     }
 
     /// Begins the outages of the store that were scheduled with a fault of one controller.
--- a/crates/controller/tests/simulation/invariants.rs
+++ b/crates/controller/tests/simulation/invariants.rs
@@ -1,6 +1,6 @@
 //! Checks of the invariants: at each task start, of replicas, and of cancelled jobs.
 
-use super::{REPLICAS_CHECKED_AT, Simulation, always_fails};
+use super::{CONTROLLERS, REPLICAS_CHECKED_AT, Simulation, always_fails};
 use hookway_time::duration_from_seconds;
 use hookway_wire::JobSpec;
 use std::time::Duration;
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Checks that at most one controller may act as the leader.
+    pub(super) fn check_single_leader(&self) {
+        let leads = |n: &usize| self.controllers[*n].may_lead(self.now);
+        let leaders: Vec<&str> =
+            (0..CONTROLLERS.len()).filter(leads).map(|n| CONTROLLERS[n].0).collect();
+        assert!(leaders.len() <= 1, "{leaders:?} lead at the same time, {:?}", self.now);
+    }
+
     /// Checks at `REPLICAS_CHECKED_AT` that every replica of every daemon runs on a machine, or did so at most
     /// `REPLICA_MOVE_TIMEOUT` ago, since it may be moving to another machine.
     pub(super) fn check_replicas(&mut self) {
--- a/crates/controller/tests/simulation/messages.rs
+++ b/crates/controller/tests/simulation/messages.rs
@@ -1,9 +1,11 @@
 //! The messages in the event queue, and their delivery to the simulated components.
 
 use super::scenarios::FaultScenario;
+use super::slow_elections::ElectionAnswer;
 use super::{Simulation, ms};
 use hookway_clients::Delivery;
 use hookway_controller::cluster_state::PendingCommit;
+use hookway_controller::leadership::Election;
 use hookway_controller::shard_lease::{ShardLease, ShardLeaseRenewal};
 use hookway_replication::{FollowRequest, FollowResponse};
 use hookway_time::MonotonicTime;
@@ -42,6 +44,10 @@
     RereadCommit(usize, u64, Box<PendingCommit>),
     /// A transaction that reaches the store after its sender's timeout.
     DelayedTransaction(Transaction),
+    /// The store answers a request of a candidate: controller, number of the request, answer.
+    ElectionAnswer(usize, u64, Box<ElectionAnswer>),
+    /// An election that reaches the store after its sender's timeout: controller, election, expiry of its lease.
+    DelayedElection(usize, Box<Election>, MonotonicTime),
     /// Deletes machines at the cloud: controller, its term, machines.
     DeleteMachines(usize, u64, Vec<String>),
 }
@@ -73,6 +79,7 @@
             | Message::JobFinished(n, ..)
             | Message::DirectCommandsOutcome(n, ..)
             | Message::StateProbeOutcome(n, ..)
+            | Message::ElectionAnswer(n, ..)
             | Message::RereadCommit(n, ..) => Some(*n),
             _ => None,
         };
@@ -144,6 +151,12 @@
                 let _ = self.store.commit(&transaction);
                 self.check_final_states();
             }
+            Message::ElectionAnswer(n, request, answer) => {
+                self.deliver_election_answer(n, request, *answer);
+            }
+            Message::DelayedElection(n, election, expires_at) => {
+                self.deliver_delayed_election(n, election, expires_at);
+            }
             Message::DeleteMachines(n, term, names) => {
                 for machine in
                     self.machines.iter_mut().filter(|machine| names.contains(&machine.name))
--- a/crates/controller/tests/simulation/mod.rs
+++ b/crates/controller/tests/simulation/mod.rs
@@ -23,6 +23,7 @@
 mod messages;
 mod network;
 mod scenarios;
+mod slow_elections;
 mod standbys;
 mod users;
 
@@ -39,6 +40,7 @@
 use rand::{RngExt, SeedableRng};
 pub use scenarios::FaultScenario;
 use scenarios::ScheduledScenario;
+use slow_elections::SlowElections;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -67,6 +69,8 @@
 struct StoredLeadership {
     controller: usize,
     term: u64,
+    /// Id of the lease. `Simulation::step_store` expires it, not the `MemoryStore`.
+    lease_id: u64,
     expires_at: MonotonicTime,
 }
 
@@ -85,6 +89,8 @@
     store: MemoryStore,
     /// `None` while nobody leads.
     leadership: Option<StoredLeadership>,
+    /// Id of the last granted lease.
+    last_lease_id: u64,
     /// End of the latest outage of the store.
     outage_until: MonotonicTime,
     zone_partitioned_until: [MonotonicTime; ZONES.len()],
@@ -105,6 +111,8 @@
     election_faults: Option<ElectionFaults>,
     /// `None` if the networks of machines don't flap.
     flapping_network: Option<FlappingNetwork>,
+    /// `None` if requests of elections take no time.
+    slow_elections: Option<SlowElections>,
     pub jobs: Vec<JobSpec>,
     reported: BTreeMap<JobId, ReportedState>,
     /// Ids of the tasks that have run to completion.
@@ -137,6 +145,7 @@
             now: MonotonicTime::ZERO,
             store: MemoryStore::default(),
             leadership: None,
+            last_lease_id: 0,
             outage_until: MonotonicTime::ZERO,
             zone_partitioned_until: [MonotonicTime::ZERO; ZONES.len()],
             controllers,
@@ -148,6 +157,7 @@
             has_one_way_partitions: false,
             election_faults: None,
             flapping_network: None,
+            slow_elections: None,
             leader_fault_rate: if seed.is_multiple_of(2) { 20 } else { 4 },
             jobs: Vec::new(),
             reported: BTreeMap::new(),
@@ -269,6 +279,7 @@
             for n in 0..CONTROLLERS.len() {
                 self.step_controller(n);
             }
+            self.check_single_leader();
             self.check_replicas();
             self.query_and_cancel();
             self.check_cancelled_jobs();
