A submission without an answer takes only its own record for one that it has just written

Any other record is that of an earlier submission, and the user gets the job's state as from a failed precondition.

--- a/crates/controller/src/api/submission.rs
+++ b/crates/controller/src/api/submission.rs
@@ -86,10 +86,12 @@
                 return self.reject_unless_accepted(job, BAD_REQUEST, reason, origin).await;
             }
             // Without a response the transaction may have been applied, or may be applied later.
-            Err(StoreError::Indeterminate(_)) => match self.outcome_from_store(job, &value).await {
-                Ok(outcome) => return outcome,
-                Err(error) => error,
-            },
+            Err(StoreError::Indeterminate(_)) => {
+                match self.outcome_from_store(job, &value, origin).await {
+                    Ok(outcome) => return outcome,
+                    Err(error) => error,
+                }
+            }
             Err(error) => error,
         };
         // If another controller writes the record too, one of the two transactions fails by its
@@ -97,15 +99,22 @@
         self.ask_other_controllers(PeerRequest::Submit(body.to_vec()), &error, origin).await
     }
 
-    /// Returns the outcome of a submission whose transaction got no response, according to what the
-    /// store has now.
+    /// Returns the outcome of a submission whose transaction, with the record `written`, got no
+    /// response, according to what the store has now.
+    ///
+    /// A stored record is that of this submission only if it is the same, with the time of its
+    /// acceptance. Otherwise the job was accepted before and may be running.
     async fn outcome_from_store(
         &self,
         job: &JobId,
-        value: &serde_json::Value,
+        written: &serde_json::Value,
+        origin: Origin,
     ) -> Result<RequestOutcome, StoreError> {
         Ok(match self.job_reader.read(&self.config.stores.submissions, job).await? {
-            StoredJob::Active { .. } => RequestOutcome::Accepted(self.queued_status(job, value)),
+            StoredJob::Active { value, .. } if value == *written => {
+                RequestOutcome::Accepted(self.queued_status(job, written))
+            }
+            StoredJob::Active { .. } => self.status(job, origin).await,
             StoredJob::Final(status) => self.known_job_outcome(status),
             StoredJob::Absent => RequestOutcome::unavailable("the state service did not answer"),
         })
--- a/crates/controller/tests/api/submissions.rs
+++ b/crates/controller/tests/api/submissions.rs
@@ -119,3 +119,28 @@
     );
     assert_eq!(post(&api, "/api/jobs", JOB).await.0, StatusCode::OK);
 }
+
+/// Guards against a running job that is told as accepted and queued (review case 8): it is submitted again, the
+/// transaction fails its preconditions, and the response to it is lost. The record that the controller then reads is
+/// that of the earlier submission.
+#[tokio::test]
+async fn resubmission_whose_transaction_response_is_lost_gets_200_with_current_state() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let api = api_at(Role::Leader, true, LeadershipView::default(), Some(&address));
+    let running_job = JOB.replace("req-000412", "req-000001");
+    let spec: JobSpec = serde_json::from_str(&running_job).expect("a job");
+    let key = job_key(&spec.id);
+    let record = JobRecord { spec, accepted_at_ms: 1, has_start_watermark: true };
+    let value = serde_json::to_value(record).expect("a job record that serializes");
+    server.with_store(|store| store.put(&key, value));
+    server.lose_next_commit_response();
+    let (status, text, _) = post(&api, "/api/jobs", &running_job).await;
+    assert_eq!(status, StatusCode::OK, "{text}");
+    assert!(text.contains("\"running\""), "{text}");
+    // The record of a job that was not known before is that of this submission.
+    server.lose_next_commit_response();
+    let (status, text, _) = post(&api, "/api/jobs", JOB).await;
+    assert_eq!(status, StatusCode::CREATED, "{text}");
+    assert!(text.contains("\"queued\""), "{text}");
+}
