Tests: reads between which the store changes, and the requests of elections and failovers

- a leader elected while a list is on its way is seen before the watch ends
- an election without an answer takes one list, one read of the key and the extension; a failover one list, one lease and one transaction: pinned, so that neither gets slower or costs more requests

The store on loopback can hold back a read and names its requests.

--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -16,6 +16,8 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+/// Interval at which a test checks whether what it waits for has happened.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Ends a test that would otherwise hang.
 const CONCLUSION_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -29,6 +31,15 @@
     election_actor: tokio::task::JoinHandle<()>,
 }
 
+impl RunningController {
+    /// Waits until the controller's lease of this term holds.
+    async fn wait_until_lease_holds(&self, term: &LeaderTerm) {
+        while !self.lease.holds(term.term(), self.clock.now()) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
 /// Starts the election actor of a controller with the store at `address`.
 fn start(name: &str, address: &str) -> RunningController {
     let (view_tx, view) = watch::channel(LeadershipView::default());
@@ -211,7 +222,14 @@
         if let Some(lease_id) = leader.and_then(|pair| pair.lease_id) {
             return lease_id;
         }
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits until the store has received this request. Earlier requests are forgotten.
+async fn wait_for_request(server: &StoreServer, expected: &str) {
+    while !server.take_requests().iter().any(|request| request == expected) {
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
@@ -291,3 +309,59 @@
     assert_eq!(next.term(), first.term() + hookway_constants::TOKENS_PER_TERM);
     assert!(!server.expire_lease(first.lease_id()), "the lease of the ended term was revoked");
 }
+
+/// Guards against elections that cost more: an election whose response was lost is found with one list and one read of
+/// the key, and its lease is extended at once. (`GET /keys/lead/now` is the read that alone proves the term.)
+#[tokio::test]
+async fn election_without_response_is_found_by_one_list_and_one_read() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    server.lose_next_commit_response();
+    let mut controller = start("one", &address);
+    wait_for_leader_lease(&server).await;
+    server.take_requests();
+    let term = wait_for_own_term(&mut controller).await;
+    controller.wait_until_lease_holds(&term).await;
+    let extension = format!("POST /grants/{}/extend", term.lease_id());
+    assert_eq!(server.take_requests(), ["GET /keys", "GET /keys/lead/now", extension.as_str()]);
+}
+
+/// Guards against slower failovers: once the lease of a leader has ended, a follower is told by its watch, lists the
+/// keys once, and is elected with one transaction.
+#[tokio::test]
+async fn failover_takes_one_list_one_lease_and_one_transaction() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let mut controller_1 = start("one", &address);
+    let first = wait_for_own_term(&mut controller_1).await;
+    let mut controller_2 = start("two", &address);
+    wait_for_conclusion(&mut controller_2).await;
+    wait_for_request(&server, "GET /watch").await;
+    controller_1.election_actor.abort();
+    server.take_requests();
+    server.expire_lease(first.lease_id());
+    wait_for_own_term(&mut controller_2).await;
+    assert_eq!(server.take_requests(), ["GET /keys", "POST /grants", "POST /commit"]);
+}
+
+/// Guards against a change of leader that is missed between a list and the watch after it: the list is on its way while
+/// the leader that it shows loses its lease and another one is elected. The watch begins at the revision of the list.
+#[tokio::test]
+async fn leader_elected_while_list_is_on_its_way_is_seen_before_watch_ends() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let first_lease = store_earlier_process(&server, "one");
+    let list = server.hold_next_list_response();
+    let controller_2 = start("two", &address);
+    list.wait_until_processed().await;
+    server.expire_lease(first_lease);
+    let mut controller_3 = start("three", &address);
+    wait_for_own_term(&mut controller_3).await;
+    list.release();
+    let mut view = controller_2.view.clone();
+    let follows = view.wait_for(|view| view.leader.as_deref() == Some("three"));
+    tokio::time::timeout(hookway_constants::WATCH_WAIT / 2, follows)
+        .await
+        .expect("the new leader before the watch ends")
+        .expect("the election actor runs");
+}
--- a/crates/testkit/src/store_server.rs
+++ b/crates/testkit/src/store_server.rs
@@ -42,6 +42,10 @@
     watches_suppressed: bool,
     /// Holds back the response to the next list.
     held_list: Option<HeldResponse>,
+    /// Holds back the response to the next read of a key.
+    held_read: Option<HeldResponse>,
+    /// Method and path of all requests so far, oldest first.
+    requests: Vec<String>,
     /// Number of transactions, from the next one on, whose responses will be lost.
     commit_responses_to_lose: usize,
     /// Maximum size of a value in bytes; `None` for no limit.
@@ -183,6 +187,18 @@
         held
     }
 
+    /// Holds back the response to the next read of a key, as [`Self::hold_next_list_response`] does.
+    pub fn hold_next_read_response(&self) -> HeldResponse {
+        let held = HeldResponse::default();
+        self.lock().held_read = Some(held.clone());
+        held
+    }
+
+    /// Returns method and path of all requests since the last call, oldest first, for example `GET /keys/lead/now`.
+    pub fn take_requests(&self) -> Vec<String> {
+        std::mem::take(&mut self.lock().requests)
+    }
+
     /// Loses the response to the next transaction, which is still processed. Further calls add one transaction each.
     pub fn lose_next_commit_response(&self) {
         self.lock().commit_responses_to_lose += 1;
--- a/crates/testkit/src/store_server/http.rs
+++ b/crates/testkit/src/store_server/http.rs
@@ -40,6 +40,7 @@
 impl Handler for EndpointHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let Self { server, endpoint } = self;
+        server.lock().requests.push(format!("{} {}", req.method(), req.uri().path()));
         if server.refuses_in_outage() {
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
             return;
@@ -47,7 +48,7 @@
         let lease_id = req.param::<u64>("id").unwrap_or_default();
         match endpoint {
             Endpoint::List => server.list(req, res).await,
-            Endpoint::Get => server.get(req, res),
+            Endpoint::Get => server.get(req, res).await,
             Endpoint::Commit => server.commit(req, res).await,
             Endpoint::GrantLease => server.grant(req, res).await,
             Endpoint::ExtendLease => respond_if_lease_existed(server.extend_lease(lease_id), res),
@@ -104,14 +105,19 @@
         KeyPage { pairs: remaining, has_next, revision: store.revision() }
     }
 
-    fn get(&self, req: &Request, res: &mut Response) {
+    /// Responds with a key, possibly after the response was held back.
+    async fn get(&self, req: &Request, res: &mut Response) {
         let key = req.param::<String>("key").unwrap_or_default();
-        let store = &self.lock().store;
-        match store.get(&key) {
+        let (pair, revision) = self.with_store(|store| (store.get(&key), store.revision()));
+        let held = self.lock().held_read.take();
+        if let Some(held) = held {
+            held.hold().await;
+        }
+        match pair {
             Some(pair) => res.render(Json(bare_json(&pair))),
             None => {
                 res.status_code(StatusCode::NOT_FOUND);
-                res.render(Json(json!({ "Epoch": store.revision() })));
+                res.render(Json(json!({ "Epoch": revision })));
             }
         }
     }
