Scale-out requests in flight name their machine type

What could be seen: the controller that leads ends (index out of bounds, the process aborts) if the cloud's list of machine types gets shorter while a scale-out request is in flight; if only its order changes, a pool without capacity is taken for another one and the same machines are requested again at once.

Change: a capacity pool has the name of its type; the index is looked up in the list of the round.

--- a/crates/controller/src/cluster_state/scale_out.rs
+++ b/crates/controller/src/cluster_state/scale_out.rs
@@ -4,7 +4,7 @@
 use hookway_constants as constants;
 use hookway_policy::{MachineOffer, MachineView, Resources, ScalingPlan};
 use hookway_time::MonotonicTime;
-use hookway_wire::ScaleOutRequest;
+use hookway_wire::{MachineType, ScaleOutRequest};
 use std::collections::{HashMap, HashSet};
 
 /// Lower bound of the number of scale-out requests that may be in flight, however low the cloud's
@@ -12,10 +12,13 @@
 const MIN_PENDING_REQUESTS: f64 = 2.0;
 
 /// Machines of one type, zone and purchase option, which share the cloud's capacity.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+///
+/// The type has its name here: the cloud's list of types is read again while requests are in
+/// flight, and may have another order or lack a type.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct CapacityPool {
-    /// Index of the machine type.
-    machine_type: usize,
+    /// Name of the machine type.
+    machine_type: String,
     /// Index of the zone.
     zone: usize,
     spot: bool,
@@ -43,9 +46,9 @@
     /// Whether machines may be requested from a pool: it did not recently lack capacity, and no
     /// request for it is in flight. The machines of a request in flight count as booting, and more
     /// requests before its answer would only queue up.
-    fn may_request(&self, pool: CapacityPool, now: MonotonicTime) -> bool {
-        let unavailable = self.unavailable_until.get(&pool).is_some_and(|until| now < *until);
-        !unavailable && !self.pending.iter().any(|pending| pending.pool == pool)
+    fn may_request(&self, pool: &CapacityPool, now: MonotonicTime) -> bool {
+        let unavailable = self.unavailable_until.get(pool).is_some_and(|until| now < *until);
+        !unavailable && !self.pending.iter().any(|pending| pending.pool == *pool)
     }
 
     /// Removes and returns the request in flight with this id; `None` if there is none.
@@ -68,9 +71,9 @@
                 let Some(zone) = self.config.platform.zone(name) else { continue };
                 let prices = [(false, Some(offered.price_per_hour)), (true, offered.spot_price)];
                 for (spot, price) in prices {
-                    let pool = CapacityPool { machine_type, zone, spot };
+                    let pool = CapacityPool { machine_type: offered.name.clone(), zone, spot };
                     if let Some(price) = price
-                        && self.scale_outs.may_request(pool, now)
+                        && self.scale_outs.may_request(&pool, now)
                     {
                         offers.push(MachineOffer { machine_type, zone, is_spot: spot, price });
                     }
@@ -81,12 +84,18 @@
     }
 
     /// Returns the policy's views of the machines of requests in flight, which count as booting.
+    /// Machines of a type that is not offered any more are left out, since the policy does not know
+    /// it.
     pub(super) fn pending_machine_views(&self) -> Vec<MachineView> {
         let mut views = Vec::new();
         for PendingScaleOut { pool, count, .. } in &self.scale_outs.pending {
-            let capacity = Resources::of_machine_type(&self.machine_types[pool.machine_type]);
+            let is_of_pool = |offered: &MachineType| offered.name == pool.machine_type;
+            let Some(machine_type) = self.machine_types.iter().position(is_of_pool) else {
+                continue;
+            };
+            let capacity = Resources::of_machine_type(&self.machine_types[machine_type]);
             let view = MachineView {
-                machine_type: pool.machine_type,
+                machine_type,
                 zone: pool.zone,
                 is_spot: pool.spot,
                 capacity,
@@ -135,9 +144,10 @@
         self.scale_outs.last_request += 1;
         // The term makes the id unique among all controllers.
         let request_id = format!("h-{}-{}", self.term, self.scale_outs.last_request);
+        let machine_type = self.machine_types[offer.machine_type].name.clone();
         let request = ScaleOutRequest {
             request_id: request_id.clone(),
-            machine_type: self.machine_types[offer.machine_type].name.clone(),
+            machine_type: machine_type.clone(),
             zone: self.config.platform.zones[offer.zone].clone(),
             spot: offer.is_spot,
             count,
@@ -146,8 +156,7 @@
             request = %request_id, count, machine_type = %request.machine_type,
             zone = %request.zone, spot = request.spot, "scale out requested"
         );
-        let MachineOffer { machine_type, zone, is_spot: spot, .. } = *offer;
-        let pool = CapacityPool { machine_type, zone, spot };
+        let pool = CapacityPool { machine_type, zone: offer.zone, spot: offer.is_spot };
         self.scale_outs.pending.push(PendingScaleOut { request_id, pool, count });
         request
     }
--- a/crates/controller/tests/cluster_state/autoscaling.rs
+++ b/crates/controller/tests/cluster_state/autoscaling.rs
@@ -10,7 +10,7 @@
 use hookway_controller::records::LEADER_KEY;
 use hookway_controller::settings::Settings;
 use hookway_testkit::{PLATFORM_SETTINGS, machine_types};
-use hookway_wire::{ExitCause, MachineState, Precondition};
+use hookway_wire::{ExitCause, MachineState, MachineType, Precondition, ScaleOutRequest};
 
 #[test]
 fn machine_that_never_boots_is_deleted_and_replaced() {
@@ -125,3 +125,55 @@
         }
     }
 }
+
+/// Guards against the end of a controller, or a wrong pool without capacity: the cloud's list of machine types is read
+/// again while a scale-out request is in flight, and has them in another order, or lacks the requested one.
+#[test]
+fn scale_out_in_flight_keeps_its_machine_type_when_types_are_read_again() {
+    let small = machine_types().remove(0);
+    let costly = MachineType { name: "costly".into(), price_per_hour: 9.0, ..small.clone() };
+    let costly = MachineType { spot_price: Some(8.0), zones: vec!["a".into()], ..costly };
+    let small = MachineType { zones: vec!["a".into()], ..small };
+    let mut harness = LeaderHarness::start();
+    harness.cluster.set_machine_types(vec![costly.clone(), small.clone()]);
+    harness.submit(job("req-000001", "array", 1));
+    let mut request_one = |types: Vec<MachineType>| {
+        harness.now += ms(1_000);
+        harness.cluster.set_machine_types(types);
+        let mut requests: Vec<ScaleOutRequest> = Vec::new();
+        for action in harness.cluster.autoscaling_round(harness.now) {
+            if let ScalingAction::ScaleOut(request) = action {
+                requests.push(request);
+            }
+        }
+        for request in &requests {
+            harness.cluster.scale_out_finished(request, None, harness.now);
+        }
+        requests.into_iter().map(|request| (request.machine_type, request.spot)).collect::<Vec<_>>()
+    };
+    let in_one_order = vec![costly.clone(), small.clone()];
+    let in_other_order = vec![small, costly.clone()];
+    assert_eq!(request_one(in_one_order.clone()), [("small".to_owned(), true)]);
+    // The spot machines of the small type have no capacity, whatever the order of the list.
+    assert_eq!(request_one(in_other_order), [("small".to_owned(), false)]);
+    assert_eq!(request_one(in_one_order), [("costly".to_owned(), true)]);
+    assert_eq!(request_one(vec![costly]), [("costly".to_owned(), false)]);
+}
+
+/// Guards against the end of a controller: the machine type of a request in flight is not offered any more.
+#[test]
+fn scale_out_in_flight_of_type_that_is_not_offered_any_more_is_waited_for() {
+    let small = machine_types().remove(0);
+    let other = MachineType { name: "other".into(), price_per_hour: 9.0, ..small.clone() };
+    let other = MachineType { spot_price: Some(8.0), ..other };
+    let mut harness = LeaderHarness::start();
+    harness.cluster.set_machine_types(vec![other.clone(), small]);
+    harness.submit(job("req-000001", "array", 1));
+    let actions = harness.cluster.autoscaling_round(at(1_000));
+    let [ScalingAction::ScaleOut(request)] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_eq!(request.machine_type, "small");
+    harness.cluster.set_machine_types(vec![other]);
+    harness.cluster.autoscaling_round(at(2_000));
+    harness.cluster.scale_out_finished(request, Some(vec!["m-1".into()]), at(3_000));
+    assert_eq!(harness.cluster.machine_count(), 1);
+}
