Tests: what proves a record after a lost answer, for cancellations, image hints and job records

- a cancellation without a leader whose answer is lost is confirmed only by the final state in the store
- an image hint whose registry record got no answer is written again, applied or not
- a job record that was read in another term adds no job

All three hold already.

--- a/crates/controller/tests/cluster_state/machine_registry.rs
+++ b/crates/controller/tests/cluster_state/machine_registry.rs
@@ -2,9 +2,10 @@
 
 use crate::harness::{LeaderHarness, at, job, listed_machine, ms, small_worker, test_config};
 use crate::support::workers;
-use hookway_controller::cluster_state::longest_worker_lease;
+use hookway_controller::cluster_state::{CommitResult, longest_worker_lease};
+use hookway_controller::records::REGISTRY_PREFIX;
 use hookway_testkit::{MemoryStore, ScriptedWorker};
-use hookway_wire::{ExitCause, MachineState};
+use hookway_wire::{ExitCause, MachineState, Operation};
 
 #[test]
 fn no_task_starts_before_machine_is_registered() {
@@ -126,3 +127,50 @@
     assert!(harness.store.get("r/record-0").is_none_or(|kv| kv.value["hosts"].is_object()));
     assert!(harness.is_registered("m-1"));
 }
+
+/// Guards against an image hint that is taken for durable: the response to the commit of a registry record is lost, and
+/// its transaction was applied or not. The hint is written again, and the next leader places by it.
+#[test]
+fn image_hint_whose_commit_response_is_lost_is_written_again() {
+    for applied in [true, false] {
+        let mut harness = LeaderHarness::start();
+        let (mut cold, mut warm) = (small_worker("m-1", "a"), small_worker("m-2", "a"));
+        harness.submit(job("req-000001", "array", 1));
+        let mut responses_lost = 0;
+        for _ in 0..20 {
+            harness.now += ms(500);
+            let response = harness.cluster.handle_heartbeat(&warm.heartbeat(), harness.now);
+            if let Some(response) = response {
+                warm.execute_response(&response);
+            }
+            harness.cluster.scheduling_round(harness.now);
+            let Some(commit) = harness.cluster.next_commit(harness.now) else { continue };
+            let writes_image = |operation: &Operation| match operation {
+                Operation::Put { key, value, .. } => {
+                    key.starts_with(REGISTRY_PREFIX) && value.to_string().contains("img")
+                }
+                Operation::Delete { .. } => false,
+            };
+            let is_lost =
+                responses_lost == 0 && commit.transaction.operations.iter().any(writes_image);
+            responses_lost += usize::from(is_lost);
+            let mut result = CommitResult::NotApplied;
+            if applied || !is_lost {
+                let revision = harness.store.commit(&commit.transaction).expect("one writer");
+                result = CommitResult::Applied(revision);
+            }
+            if is_lost {
+                result = harness.read_after_lost_response(&commit);
+            }
+            harness.cluster.apply_commit_outcome(commit, result, harness.now);
+        }
+        assert_eq!(responses_lost, 1, "a registry record with the image was written");
+        warm.end_task("req-000001/0", ExitCause::Done);
+        harness.run_four_rounds(&mut [&mut cold, &mut warm]);
+        let mut next = LeaderHarness::with_term(harness.store.clone(), 2, harness.now + ms(9_000));
+        next.run_four_rounds(&mut [&mut cold, &mut warm]);
+        next.submit(job("req-000002", "array", 1));
+        next.run_four_rounds(&mut [&mut cold, &mut warm]);
+        assert_eq!((cold.started_attempts.len(), warm.unfinished_tasks().len()), (0, 1));
+    }
+}
--- a/crates/controller/tests/consistent_reads.rs
+++ b/crates/controller/tests/consistent_reads.rs
@@ -9,11 +9,11 @@
 use hookway_controller::leadership::LeadershipView;
 use hookway_controller::records::{FinalRecord, JobRecord, final_state_key, job_key};
 use hookway_testkit::StoreServer;
-use hookway_wire::{JobSpec, JobState, Operation, Transaction, WatchEvent};
+use hookway_wire::{JobId, JobSpec, JobState, Operation, Transaction, WatchEvent};
 use salvo::http::StatusCode;
 use serde_json::json;
 use std::time::Duration;
-use support::{JOB, Role, api_at, get};
+use support::{JOB, Role, api_at, get, post};
 
 /// Maximum number of keys in a page of a list.
 const PAGE_KEYS: usize = 1_000;
@@ -80,3 +80,22 @@
     });
     assert_eq!(response.0, StatusCode::OK, "{}", response.1);
 }
+
+/// Guards against a cancellation that is confirmed but did not happen: nobody leads, and the response to the transaction
+/// that cancels the job is lost. It is confirmed only by the final state in the store.
+#[tokio::test]
+async fn leaderless_cancellation_without_response_is_confirmed_by_final_state_alone() {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    let api = api_at(Role::Follower, true, LeadershipView::default(), Some(&address));
+    assert_eq!(post(&api, "/api/jobs", JOB).await.0, StatusCode::CREATED);
+    server.lose_next_commit_response();
+    let path = "/api/jobs/req-000412/withdraw";
+    let (status, text, retry) = post(&api, path, "{}").await;
+    assert_eq!((status, retry), (StatusCode::SERVICE_UNAVAILABLE, true), "{text}");
+    let (status, text, _) = post(&api, path, "{}").await;
+    assert_eq!(status, StatusCode::OK, "{text}");
+    let id = JobId::parse("req-000412").expect("an id");
+    let stored = server.with_store(|store| store.get(&final_state_key(&id)));
+    assert!(stored.is_some(), "the confirmation rests on the final state");
+}
--- a/crates/controller/tests/controller_actor.rs
+++ b/crates/controller/tests/controller_actor.rs
@@ -7,19 +7,19 @@
     ControllerActor, ControllerActorConfig, ControllerHandle, ControllerRequest,
 };
 use hookway_controller::api::{ApiService, ApiServiceConfig, Origin, StoreClients};
-use hookway_controller::cluster_state::ControllerConfig;
+use hookway_controller::cluster_state::{ControllerConfig, JobLookup};
 use hookway_controller::leadership::{
     Clock, ElectionActor, ElectionActorConfig, LeadershipLease, LeadershipView,
 };
 use hookway_controller::networks::Networks;
 use hookway_controller::peers::{self, Peers};
-use hookway_controller::records::final_state_key;
+use hookway_controller::records::{JobRecord, final_state_key, job_key};
 use hookway_controller::request_outcome::RequestOutcome;
 use hookway_controller::settings::{OperatorSettings, PeerController, Settings};
 use hookway_controller::shard_lease::ShardLessee;
 use hookway_controller::standby::{Standby, StandbyMode, StandbySignals};
 use hookway_testkit::{PLATFORM_SETTINGS, StoreServer, machine_types};
-use hookway_wire::{JobId, JobState};
+use hookway_wire::{JobId, JobSpec, JobState};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -250,3 +250,34 @@
     };
     LocalSet::new().run_until(work).await;
 }
+
+/// Guards against a job that comes back: its record was read in an earlier term of the controller, and another leader
+/// may have ended the job since. The record is added only in the term in which it was read.
+#[tokio::test]
+async fn record_read_in_other_term_adds_no_job() {
+    let work = async {
+        let server = StoreServer::default();
+        let address = server.start().await.expect("a free port");
+        let mut controller = start("one", &address, &[], true).await;
+        submit_to_leader(&mut controller).await;
+        let view = controller.view.borrow().clone();
+        let term = view.own_term.expect("the controller leads").term();
+        let handle = ControllerHandle::new(controller.requests.clone());
+        let spec = JobSpec::parse(JOB.replace("req-000412", "req-000413").as_bytes());
+        let spec = spec.expect("a valid job");
+        let (id, key) = (spec.id.clone(), job_key(&spec.id));
+        let record = JobRecord { spec, accepted_at_ms: 1, has_start_watermark: true };
+        let record = serde_json::to_value(record).expect("a record that serializes");
+        for (read_in_term, is_added) in [(None, false), (Some(term + 1), false), (Some(term), true)]
+        {
+            let (key, value) = (key.clone(), record.clone());
+            let add = |reply| ControllerRequest::AddJob { read_in_term, key, value, reply };
+            within_20_s(handle.request(add)).await;
+            let look_up = |reply| ControllerRequest::Status { job: id.clone(), reply };
+            let lookup = within_20_s(handle.request(look_up)).await;
+            let is_known = matches!(lookup, Some(JobLookup::Known(_)));
+            assert_eq!(is_known, is_added, "read in term {read_in_term:?}: {lookup:?}");
+        }
+    };
+    LocalSet::new().run_until(work).await;
+}
