--- a/crates/controller/src/shard_lease/tests.rs
+++ b/crates/controller/src/shard_lease/tests.rs
@@ -269,3 +269,18 @@
         "without a shard lease it extends no worker lease"
     );
 }
+
+/// Guards against a shard lease taken from an answer of another term: the response to a renewal is on its way while this
+/// controller wins a term of its own. The response names the term that granted the lease.
+#[test]
+fn shard_lease_response_that_arrives_after_own_election_grants_nothing() {
+    let (mut lessor, mut lessee) = (lessor(at(0)), ShardLessee::new("one", 1, ms(8_000)));
+    renew_shard_lease(&mut lessor, &mut lessee, at(0));
+    let renewal = lessee.renewal(at(1_000));
+    let granted = lessor.respond_to_renewal(5, &renewal, LEASE, at(1_000)).unwrap();
+    assert_ne!(granted.lease_ms, 0, "the response grants a lease");
+    lessee.leadership_won(5 + constants::TOKENS_PER_TERM);
+    lessee.apply_renewal_response(granted, at(1_000), at(1_500));
+    let extension = lessee.extend_worker_lease(&heartbeat("b", 5), at(11_000), |_| false);
+    assert_eq!(extension, None, "the granting term is over");
+}
--- a/crates/controller/tests/cluster_state/autoscaling.rs
+++ b/crates/controller/tests/cluster_state/autoscaling.rs
@@ -9,7 +9,7 @@
 use hookway_controller::leadership::WatermarkCompleteness;
 use hookway_controller::records::LEADER_KEY;
 use hookway_controller::settings::Settings;
-use hookway_testkit::{PLATFORM_SETTINGS, machine_types};
+use hookway_testkit::{MemoryStore, PLATFORM_SETTINGS, machine_types};
 use hookway_wire::{ExitCause, MachineState, MachineType, Precondition, ScaleOutRequest};
 
 #[test]
@@ -177,3 +177,26 @@
     harness.cluster.scale_out_finished(request, Some(vec!["m-1".into()]), at(3_000));
     assert_eq!(harness.cluster.machine_count(), 1);
 }
+
+/// Guards against machines of another request that are taken for one's own: the response to a scale-out request is lost,
+/// and the request is repeated under its id. An id belongs to one request of one term.
+#[test]
+fn scale_out_request_ids_differ_within_term_and_between_terms() {
+    let mut ids = std::collections::BTreeSet::new();
+    let mut requests = 0;
+    for term in [1, 4_097, 8_193] {
+        let mut harness = LeaderHarness::with_term(MemoryStore::default(), term, at(0));
+        harness.submit(job("req-000001", "array", 5_000));
+        for _ in 0..10 {
+            harness.now += ms(1_000);
+            for action in harness.cluster.autoscaling_round(harness.now) {
+                let ScalingAction::ScaleOut(request) = action else { continue };
+                harness.cluster.scale_out_finished(&request, None, harness.now);
+                requests += 1;
+                ids.insert(request.request_id);
+            }
+        }
+    }
+    assert!(requests > 3, "requests in each term");
+    assert_eq!(ids.len(), requests);
+}
