--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -40,6 +40,13 @@
     }
 }
 
+/// Starts an empty store. Returns it with its address.
+async fn start_store() -> (StoreServer, String) {
+    let server = StoreServer::default();
+    let address = server.start().await.expect("a free port");
+    (server, address)
+}
+
 /// Starts the election actor of a controller with the store at `address`.
 fn start(name: &str, address: &str) -> RunningController {
     let (view_tx, view) = watch::channel(LeadershipView::default());
@@ -62,6 +69,15 @@
     RunningController { view, lease, clock, suspicion, resignation, election_actor }
 }
 
+/// Waits until this controller is the leader in a controller's view.
+async fn wait_for_leader(controller: &mut RunningController, leader: &str) {
+    controller
+        .view
+        .wait_for(|view| view.leader.as_deref() == Some(leader))
+        .await
+        .expect("the election actor runs");
+}
+
 /// Waits until the controller leads and returns its term.
 async fn wait_for_own_term(controller: &mut RunningController) -> LeaderTerm {
     let view = controller
@@ -74,18 +90,13 @@
 
 #[tokio::test]
 async fn lost_leadership_lease_ends_term_and_next_term_is_higher() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     let mut controller_1 = start("one", &address);
     let first = wait_for_own_term(&mut controller_1).await;
     assert_eq!(first.term(), 1);
     assert!(controller_1.lease.holds(first.term(), controller_1.clock.now()));
     let mut controller_2 = start("two", &address);
-    controller_2
-        .view
-        .wait_for(|view| view.leader.as_deref() == Some("one"))
-        .await
-        .expect("the election actor runs");
+    wait_for_leader(&mut controller_2, "one").await;
     assert_eq!(controller_2.view.borrow().own_term, None, "only one controller leads at a time");
     // The lease expires, as if it had not been extended in time.
     server.expire_lease(first.lease_id());
@@ -108,8 +119,7 @@
 
 #[tokio::test]
 async fn restarted_controller_revokes_lease_of_previous_process() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     let lease_id = store_earlier_process(&server, "one");
     let mut controller_1 = start("one", &address);
     assert_eq!(wait_for_own_term(&mut controller_1).await.term(), 5);
@@ -124,8 +134,7 @@
     for (last_fencing_token, expected) in
         [(None, WatermarkCompleteness::Complete), (Some(4_096), WatermarkCompleteness::Absent)]
     {
-        let server = StoreServer::default();
-        let address = server.start().await.expect("a free port");
+        let (server, address) = start_store().await;
         if let Some(last_fencing_token) = last_fencing_token {
             server.with_store(|store| {
                 store.put(LEADER_TERM_KEY, serde_json::json!(last_fencing_token))
@@ -144,19 +153,15 @@
 
 #[tokio::test]
 async fn term_continues_after_store_outage() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     let mut controller_1 = start("one", &address);
     let first = wait_for_own_term(&mut controller_1).await;
     server.begin_outage();
     // Several extensions fail; the lease itself does not expire, since no lease does during an outage.
     server.wait_for_refused_requests(3).await;
     server.end_outage();
-    let controller_2 = start("two", &address);
-    let mut view = controller_2.view.clone();
-    view.wait_for(|view| view.leader.as_deref() == Some("one"))
-        .await
-        .expect("the election actor runs");
+    let mut controller_2 = start("two", &address);
+    wait_for_leader(&mut controller_2, "one").await;
     assert_eq!(controller_1.view.borrow().own_term, Some(first));
 }
 
@@ -165,16 +170,11 @@
 /// The suspicion itself does not depose a leader that is still alive.
 #[tokio::test]
 async fn leader_suspicion_reads_store_without_deposing_live_leader() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     let mut controller_1 = start("one", &address);
     let first = wait_for_own_term(&mut controller_1).await;
     let mut controller_2 = start("two", &address);
-    controller_2
-        .view
-        .wait_for(|view| view.leader.as_deref() == Some("one"))
-        .await
-        .expect("the election actor runs");
+    wait_for_leader(&mut controller_2, "one").await;
     server.suppress_watch_events();
     controller_2.suspicion.notify_one();
     tokio::time::sleep(std::time::Duration::from_millis(200)).await;
@@ -247,8 +247,7 @@
 /// way. The read of the leader key shows the lease of the other controller, which is not this one's to lead with.
 #[tokio::test]
 async fn controller_that_lost_election_response_does_not_lead_with_lease_of_next_leader() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     server.lose_next_commit_response();
     let mut controller_1 = start("one", &address);
     let first_lease = wait_for_leader_lease(&server).await;
@@ -270,8 +269,7 @@
 /// The lease that the new process reads is not that of its previous process.
 #[tokio::test]
 async fn restarted_controller_does_not_revoke_lease_of_next_leader() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     let first_lease = store_earlier_process(&server, "one");
     let list = server.hold_next_list_response();
     let mut controller_1 = start("one", &address);
@@ -291,8 +289,7 @@
 /// not released, and finds its own record afterwards. That record is not one of an election whose response was lost.
 #[tokio::test]
 async fn leader_that_stepped_down_without_store_does_not_lead_its_ended_term_again() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     let mut controller = start("one", &address);
     let first = wait_for_own_term(&mut controller).await;
     server.begin_outage();
@@ -314,8 +311,7 @@
 /// the key, and its lease is extended at once. (`GET /keys/lead/now` is the read that alone proves the term.)
 #[tokio::test]
 async fn election_without_response_is_found_by_one_list_and_one_read() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     server.lose_next_commit_response();
     let mut controller = start("one", &address);
     wait_for_leader_lease(&server).await;
@@ -330,8 +326,7 @@
 /// keys once, and is elected with one transaction.
 #[tokio::test]
 async fn failover_takes_one_list_one_lease_and_one_transaction() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     let mut controller_1 = start("one", &address);
     let first = wait_for_own_term(&mut controller_1).await;
     let mut controller_2 = start("two", &address);
@@ -348,20 +343,17 @@
 /// the leader that it shows loses its lease and another one is elected. The watch begins at the revision of the list.
 #[tokio::test]
 async fn leader_elected_while_list_is_on_its_way_is_seen_before_watch_ends() {
-    let server = StoreServer::default();
-    let address = server.start().await.expect("a free port");
+    let (server, address) = start_store().await;
     let first_lease = store_earlier_process(&server, "one");
     let list = server.hold_next_list_response();
-    let controller_2 = start("two", &address);
+    let mut controller_2 = start("two", &address);
     list.wait_until_processed().await;
     server.expire_lease(first_lease);
     let mut controller_3 = start("three", &address);
     wait_for_own_term(&mut controller_3).await;
     list.release();
-    let mut view = controller_2.view.clone();
-    let follows = view.wait_for(|view| view.leader.as_deref() == Some("three"));
+    let follows = wait_for_leader(&mut controller_2, "three");
     tokio::time::timeout(hookway_constants::WATCH_WAIT / 2, follows)
         .await
-        .expect("the new leader before the watch ends")
-        .expect("the election actor runs");
+        .expect("the new leader before the watch ends");
 }
