Stand-ins give events and tasks in an order that the protocol does not promise

The fleet's heartbeats listed tasks in the order of their starts. Now the newest event and the latest task come first, and the type of a watch's answer promises no order.

--- a/crates/testkit/src/fleet/heartbeats.rs
+++ b/crates/testkit/src/fleet/heartbeats.rs
@@ -3,8 +3,9 @@
 use super::{ControllerAddress, Fleet, FleetConfig};
 use crate::bare_json::bare_json;
 use hookway_clients::{HttpClient, HttpResponse};
-use hookway_wire::{HeartbeatRedirect, HeartbeatResponse};
+use hookway_wire::{Heartbeat, HeartbeatRedirect, HeartbeatResponse};
 use hyper::{Method, StatusCode};
+use serde_json::Value;
 use std::time::{Duration, Instant};
 
 /// Time after which a worker gives up on a heartbeat (given by the protocol).
@@ -85,7 +86,7 @@
             return None;
         }
         let heartbeat = machine.worker.heartbeat();
-        let body = serde_json::to_vec(&bare_json(&heartbeat)).ok()?;
+        let body = serde_json::to_vec(&bare_heartbeat(heartbeat)).ok()?;
         Some(EncodedHeartbeat { body, sent_at: now })
     }
 
@@ -109,6 +110,13 @@
     }
 }
 
+/// Returns a heartbeat as JSON with no more than the protocol promises: the latest tasks come first, since their order is
+/// not promised.
+pub(super) fn bare_heartbeat(mut heartbeat: Heartbeat) -> Value {
+    heartbeat.tasks.reverse();
+    bare_json(&heartbeat)
+}
+
 /// Returns the index of the controller that a redirect names, if it is one of `controllers`.
 fn redirect_target(controllers: &[ControllerAddress], body: &[u8]) -> Option<usize> {
     let leader = serde_json::from_slice::<HeartbeatRedirect>(body).ok()?.leader?;
--- a/crates/testkit/src/fleet/http.rs
+++ b/crates/testkit/src/fleet/http.rs
@@ -1,6 +1,7 @@
 //! HTTP handlers of a fleet: direct commands to its workers, and the API of its cloud.
 
 use super::Fleet;
+use super::heartbeats::bare_heartbeat;
 use super::state::{FleetMachine, MACHINE_TYPE};
 use crate::bare_json::bare_json;
 use crate::machine_types;
@@ -43,12 +44,12 @@
         let starts_before = machine.worker.started_attempts.len();
         match machine.worker.execute_direct_commands(&commands) {
             Some(heartbeat) => {
-                res.render(Json(bare_json(&heartbeat)));
+                res.render(Json(bare_heartbeat(heartbeat)));
                 state.check_starts(self.machine, starts_before);
             }
             None => {
                 res.status_code(StatusCode::CONFLICT);
-                res.render(Json(bare_json(&machine.worker.heartbeat())));
+                res.render(Json(bare_heartbeat(machine.worker.heartbeat())));
             }
         }
     }
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -114,12 +114,12 @@
         after + RETAINED_CHANGES < self.revision
     }
 
-    /// Returns the changes of keys with this prefix after this revision, oldest first.
+    /// Returns the changes of keys with this prefix after this revision, newest first: the protocol promises no order.
     pub fn events(&self, prefix: &str, after: u64) -> Vec<WatchEvent> {
         let is_wanted = |recorded: &&RecordedEvent| {
             let (WatchEvent::Put { key, .. } | WatchEvent::Delete { key, .. }) = &recorded.event;
             recorded.revision > after && key.starts_with(prefix)
         };
-        self.events.iter().filter(is_wanted).map(|recorded| recorded.event.clone()).collect()
+        self.events.iter().rev().filter(is_wanted).map(|recorded| recorded.event.clone()).collect()
     }
 }
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -181,7 +181,7 @@
     /// Revision of the store at the time of the read.
     #[serde(rename = "Epoch")]
     pub revision: u64,
-    /// Changes since the requested revision, oldest first; empty if there were none.
+    /// Changes since the requested revision, in any order; empty if there were none.
     #[serde(default)]
     pub events: Vec<WatchEvent>,
 }
