Simulation: machine lists that lag and go back in time, keys of a commit read one after the other

The simulated cloud listed each machine as it was at the moment: deleted and dead machines were gone from the list at once, and no list was older than the one before. The protocol promises neither. The keys of a commit without an answer were read in one step, though the product reads them one after the other while the transaction may still be applied.

One commit in five gets no answer, and half of those that are applied late are applied while the keys are read.

--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -178,6 +178,21 @@
     assert!(totals.leader_changes_between_reads > 15, "{totals:?}");
 }
 
+/// Guards against decisions from reads that show different times: machine lists lag, go back in time and show dead machines
+/// as running, and a transaction without an answer is applied between the reads of its keys. With seed 1702 a task runs on
+/// two machines if a machine counts as gone as soon as a list lacks it.
+#[test]
+fn stale_reads_violate_no_invariant_and_every_job_finishes() {
+    let days: Vec<EventCounts> = seeds_or(1_700..1_730)
+        .map(|seed| run_day(seed, Simulation::with_stale_reads(seed)))
+        .collect();
+    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
+    println!("{totals:?}");
+    assert!(totals.lists_older_than_previous > 5 * days.len(), "{totals:?}");
+    assert!(totals.listed_after_deletion > 5 * days.len(), "{totals:?}");
+    assert!(totals.outdated_rereads > 10, "{totals:?}");
+}
+
 /// A daemon gets its replicas back after many failovers. The failure: its replicas have ended several times, so it counts
 /// as crash-looping and preempts nothing, and for a minute no replica gets resources while arrays start tasks.
 #[test]
--- a/crates/controller/tests/simulation/commits.rs
+++ b/crates/controller/tests/simulation/commits.rs
@@ -53,10 +53,10 @@
             }
             return;
         }
-        let response_lost = self.chance(50);
+        let response_lost = self.chance(self.lost_commit_response_rate());
         let delayed = response_lost && self.chance(500);
         let applied = if delayed {
-            let at = now + self.random_duration(100, 20_000);
+            let at = now + self.late_application_delay();
             self.schedule(at, Message::DelayedTransaction(commit.transaction.clone()));
             None
         } else {
@@ -84,6 +84,9 @@
     /// Rereads the keys of a commit whose outcome is unknown, once the store is reachable.
     pub(super) fn reread_commit_keys(&mut self, n: usize, term: u64, commit: Box<PendingCommit>) {
         let now = self.now;
+        if self.stale_reads.is_some() {
+            return self.begin_slow_reread(n, term, commit);
+        }
         if self.controllers[n].leader_in_term(term).is_none() {
             return;
         }
--- a/crates/controller/tests/simulation/controllers.rs
+++ b/crates/controller/tests/simulation/controllers.rs
@@ -19,7 +19,7 @@
 /// Time after the last contact with the leader from which a shard lessee extends worker leases.
 const LESSEE_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Time for which the cloud's list omits a new machine.
-const LIST_LAG: Duration = Duration::from_millis(4_000);
+pub(super) const LIST_LAG: Duration = Duration::from_millis(4_000);
 
 /// The state of one term at the controller that leads it, or that lost its lease and has not noticed it yet.
 pub(super) struct Leader {
@@ -298,17 +298,14 @@
         }
     }
 
-    fn listed_machines(&self) -> Vec<ListedMachine> {
+    /// Returns the cloud's machine list. Only on days with stale reads is it as stale as the protocol lets it be.
+    fn machine_list(&mut self) -> Vec<ListedMachine> {
+        if let Some(stale_list) = self.stale_machine_list() {
+            return stale_list;
+        }
         let is_listed = |m: &&Machine| !m.terminated && self.now >= m.created_at + LIST_LAG;
-        let listed = |m: &Machine| ListedMachine {
-            name: m.name.clone(),
-            address: Some("127.0.0.1:9".into()),
-            machine_type: "small".into(),
-            zone: m.worker.zone().into(),
-            spot: false,
-            state: MachineState::Running,
-            age_s: seconds_f64(self.now - m.created_at),
-        };
+        let listed =
+            |m: &Machine| m.list_entry(MachineState::Running, seconds_f64(self.now - m.created_at));
         self.machines.iter().filter(is_listed).map(listed).collect()
     }
 
@@ -356,7 +353,7 @@
         }
         let cloud_reachable = self.is_zone_connected(CONTROLLERS[n].1);
         if cloud_reachable && self.now_is_multiple_of(ms(3_000)) {
-            leader.cluster.machines_listed(&self.listed_machines(), now, now);
+            leader.cluster.machines_listed(&self.machine_list(), now, now);
         }
         if cloud_reachable && self.now_is_multiple_of(ms(1_000)) {
             self.run_autoscaling(n, leader);
--- a/crates/controller/tests/simulation/counts.rs
+++ b/crates/controller/tests/simulation/counts.rs
@@ -62,6 +62,12 @@
     terms_found_by_read,
     /// Leases of terms of earlier processes that were revoked.
     revoked_terms,
+    /// Machine lists that describe an earlier time than the list before.
+    lists_older_than_previous,
+    /// Entries of machine lists for machines that were deleted already.
+    listed_after_deletion,
+    /// Reads of the keys of a commit after which some key has changed before the last one is read.
+    outdated_rereads,
     /// Terms in which the store refuses all writes of the leader.
     terms_with_refused_writes,
     /// Terms whose leader did not know whether the start watermarks of all earlier terms are complete.
--- a/crates/controller/tests/simulation/machines.rs
+++ b/crates/controller/tests/simulation/machines.rs
@@ -7,7 +7,9 @@
 use hookway_clients::Delivery;
 use hookway_testkit::ScriptedWorker;
 use hookway_time::{MonotonicTime, duration_from_seconds};
-use hookway_wire::{DirectCommands, ExitCause, JobSpec, TaskState, TaskStatus};
+use hookway_wire::{
+    DirectCommands, ExitCause, JobSpec, ListedMachine, MachineState, TaskState, TaskStatus,
+};
 use rand::RngExt;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -38,6 +40,8 @@
     pub hung_until: MonotonicTime,
     /// Whether the machine has failed or was deleted.
     pub terminated: bool,
+    pub died_at: Option<MonotonicTime>,
+    pub deleted_at: Option<MonotonicTime>,
     /// Time of the start of each task, or of its gang if that is later.
     pub task_started_at: BTreeMap<String, MonotonicTime>,
     /// Number of starts before the current incarnation of its worker.
@@ -67,12 +71,39 @@
             outbound_lost_until: MonotonicTime::ZERO,
             hung_until: MonotonicTime::ZERO,
             terminated: false,
+            died_at: None,
+            deleted_at: None,
             task_started_at: BTreeMap::new(),
             starts_before_incarnation: 0,
             discarded: Vec::new(),
         }
     }
 
+    /// Returns the machine's entry in the cloud's machine list.
+    pub fn list_entry(&self, state: MachineState, age_s: f64) -> ListedMachine {
+        ListedMachine {
+            name: self.name.clone(),
+            address: Some("127.0.0.1:9".into()),
+            machine_type: "small".into(),
+            zone: self.worker.zone().into(),
+            spot: false,
+            state,
+            age_s,
+        }
+    }
+
+    /// Ends the machine, with all of its tasks.
+    pub fn die(&mut self, now: MonotonicTime) {
+        self.terminated = true;
+        self.died_at.get_or_insert(now);
+    }
+
+    /// Ends the machine at the request of a controller, if it has not died, and removes it from later machine lists.
+    pub fn delete(&mut self, now: MonotonicTime) {
+        self.terminated = true;
+        self.deleted_at.get_or_insert(now);
+    }
+
     /// Returns the controller whose response to a heartbeat the worker waits for.
     pub fn awaited_controller(&self) -> Option<usize> {
         self.heartbeat_in_flight.map(|_| self.controller)
--- a/crates/controller/tests/simulation/messages.rs
+++ b/crates/controller/tests/simulation/messages.rs
@@ -2,6 +2,7 @@
 
 use super::scenarios::FaultScenario;
 use super::slow_elections::ElectionAnswer;
+use super::stale_reads::SlowReread;
 use super::{Simulation, ms};
 use hookway_clients::Delivery;
 use hookway_controller::cluster_state::PendingCommit;
@@ -42,6 +43,8 @@
     Commit(usize, u64, Box<PendingCommit>),
     /// The leader rereads the keys of a commit whose outcome it does not know: controller, its term, commit.
     RereadCommit(usize, u64, Box<PendingCommit>),
+    /// A controller reads the next key of a transaction that got no response, on days with stale reads.
+    ReadNextKey(SlowReread),
     /// A transaction that reaches the store after its sender's timeout.
     DelayedTransaction(Transaction),
     /// The store answers a request of a candidate: controller, number of the request, answer.
@@ -81,6 +84,7 @@
             | Message::StateProbeOutcome(n, ..)
             | Message::ElectionAnswer(n, ..)
             | Message::RereadCommit(n, ..) => Some(*n),
+            Message::ReadNextKey(reread) => Some(reread.controller()),
             _ => None,
         };
         if let Some(n) = receiver {
@@ -141,6 +145,7 @@
             }
             Message::Commit(n, term, commit) => self.deliver_commit(n, term, commit),
             Message::RereadCommit(n, term, commit) => self.reread_commit_keys(n, term, commit),
+            Message::ReadNextKey(reread) => self.read_next_key(reread),
             Message::DelayedTransaction(transaction) => {
                 if now < self.outage_until {
                     return self.schedule(
@@ -161,7 +166,7 @@
                 for machine in
                     self.machines.iter_mut().filter(|machine| names.contains(&machine.name))
                 {
-                    machine.terminated = true;
+                    machine.delete(now);
                 }
                 if let Some(leader) = self.controllers[n].leader_in_term(term) {
                     leader.cluster.scale_in_finished(&names, now);
--- a/crates/controller/tests/simulation/mod.rs
+++ b/crates/controller/tests/simulation/mod.rs
@@ -24,6 +24,7 @@
 mod network;
 mod scenarios;
 mod slow_elections;
+mod stale_reads;
 mod standbys;
 mod users;
 
@@ -41,6 +42,7 @@
 pub use scenarios::FaultScenario;
 use scenarios::ScheduledScenario;
 use slow_elections::SlowElections;
+use stale_reads::StaleReads;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -113,6 +115,8 @@
     flapping_network: Option<FlappingNetwork>,
     /// `None` if requests of elections take no time.
     slow_elections: Option<SlowElections>,
+    /// `None` if reads are current and take no time.
+    stale_reads: Option<StaleReads>,
     pub jobs: Vec<JobSpec>,
     reported: BTreeMap<JobId, ReportedState>,
     /// Ids of the tasks that have run to completion.
@@ -158,6 +162,7 @@
             election_faults: None,
             flapping_network: None,
             slow_elections: None,
+            stale_reads: None,
             leader_fault_rate: if seed.is_multiple_of(2) { 20 } else { 4 },
             jobs: Vec::new(),
             reported: BTreeMap::new(),
@@ -274,7 +279,7 @@
             if self.chance(2) {
                 // A machine fails, with all of its tasks.
                 let m = self.rng.random_range(0..self.machines.len());
-                self.machines[m].terminated = true;
+                self.machines[m].die(self.now);
             }
             for n in 0..CONTROLLERS.len() {
                 self.step_controller(n);
