Tests of elections that pass without the fix that they are named for, made to fail without it

- lease_to_revoke_is_that_of_record_in_same_answer had the same record in list and key, so it passed with the joined record.
Now they differ: assertion failed left: (LeaderRecord { controller_name: "one", term: 1, nonce: 8 }, 12, 41) right: (LeaderRecord { controller_name: "one", term: 4097, nonce: 9 }, 12, 41)
With one attempt to release: leader_that_steps_down_without_store_leaves_next_term_to_others the next leader before the pause ends: Elapsed(())

--- a/crates/controller/src/leadership/candidate/tests.rs
+++ b/crates/controller/src/leadership/candidate/tests.rs
@@ -79,10 +79,25 @@
 /// Guards against the revocation of another leader's lease (review case 4).
 #[test]
 fn lease_to_revoke_is_that_of_record_in_same_answer() {
-    let earlier = record("one", 1, NONCE + 1);
-    let outcome = evaluate_reads(&earlier, Some(leader_key(&earlier, 12, 41)));
+    let (listed, read) = (record("one", 1, NONCE + 1), record("one", 4_097, NONCE + 2));
+    let outcome = evaluate_reads(&listed, Some(leader_key(&read, 12, 41)));
+    let LeaderKeyOutcome::EndedTerm(key) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((key.record(), key.mod_revision(), key.lease_id()), (&read, 12, 41));
+}
+
+/// Guards against a term that is led twice: the record of a term that this process gave up is not one of an election whose
+/// response was lost.
+#[test]
+fn record_of_term_that_was_given_up_counts_as_ended() {
+    let own = record("one", 1, NONCE);
+    let mut candidate = Candidate::new("one", NONCE);
+    candidate.end_term(NONCE + 1);
+    let ListingOutcome::OwnName(own_name) = evaluate_list(&own) else {
+        panic!("a record of this controller")
+    };
+    let outcome = candidate.evaluate_leader_key(&own_name, Some(leader_key(&own, 5, 40)));
     let LeaderKeyOutcome::EndedTerm(key) = outcome else { panic!("{outcome:?}") };
-    assert_eq!((key.record(), key.mod_revision(), key.lease_id()), (&earlier, 12, 41));
+    assert_eq!((key.record(), key.lease_id()), (&own, 40));
 }
 
 #[test]
--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -307,6 +307,26 @@
     assert!(!server.expire_lease(first.lease_id()), "the lease of the ended term was revoked");
 }
 
+/// Guards against seconds without a leader: a leader steps down while the store refuses its requests. It releases its lease
+/// once the store is back, so that another controller leads before it campaigns again.
+#[tokio::test]
+async fn leader_that_steps_down_without_store_leaves_next_term_to_others() {
+    let (server, address) = start_store().await;
+    let mut controller_1 = start("one", &address);
+    let first = wait_for_own_term(&mut controller_1).await;
+    let mut controller_2 = start("two", &address);
+    wait_for_request(&server, "GET /watch").await;
+    server.begin_outage();
+    controller_1.resignation.notify_one();
+    server.wait_for_refused_requests(1).await;
+    server.end_outage();
+    let elected = wait_for_own_term(&mut controller_2);
+    let second = tokio::time::timeout(hookway_constants::STEP_DOWN_PAUSE / 2, elected)
+        .await
+        .expect("the next leader before the pause ends");
+    assert_eq!(second.term(), first.term() + hookway_constants::TOKENS_PER_TERM);
+}
+
 /// Guards against elections that cost more: an election whose response was lost is found with one list and one read of
 /// the key, and its lease is extended at once. (`GET /keys/lead/now` is the read that alone proves the term.)
 #[tokio::test]
