A request to resign names its term

What could be seen: a controller that had lost a term and won a later one gave the later one up at once, released its lease and paused for 2.5 s.

Change: `Resignation` holds the term to give up, and the election actor waits for a request of the term that it leads. No request to the store is added.

--- a/crates/controller/src/actor/events.rs
+++ b/crates/controller/src/actor/events.rs
@@ -121,7 +121,7 @@
     /// Gives up the leadership if a transaction has shown that this controller no longer leads.
     fn resign_if_leadership_lost(&self, active: &ActiveTerm) {
         if active.cluster.as_ref().is_some_and(ClusterState::leadership_lost) {
-            self.config.resign_requested.notify_one();
+            self.config.resignation.request(active.term());
         }
     }
 }
--- a/crates/controller/src/actor/mod.rs
+++ b/crates/controller/src/actor/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::cluster_state::ControllerConfig;
 use crate::final_state_cache::FinalStateCache;
-use crate::leadership::{Clock, LeaderTerm, LeadershipLease, LeadershipView};
+use crate::leadership::{Clock, LeaderTerm, LeadershipLease, LeadershipView, Resignation};
 use crate::shard_lease::ShardLessee;
 use crate::standby::Standby;
 use hookway_clients::{CloudClient, StoreClient, WorkerClient};
@@ -30,7 +30,7 @@
 use hookway_wire::MachineType;
 use std::sync::Arc;
 use term::ActiveTerm;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
 /// The machine types that the cloud offers; `None` until they have been read.
 pub type MachineTypes = Option<Arc<Vec<MachineType>>>;
@@ -53,8 +53,8 @@
     pub lease: Arc<LeadershipLease>,
     /// The current leader, published by the election actor.
     pub leadership_view: watch::Receiver<LeadershipView>,
-    /// Notified by the controller actor when this controller should give up its leadership.
-    pub resign_requested: Arc<Notify>,
+    /// The term that the election actor should give up.
+    pub resignation: Resignation,
     /// The machine types that the cloud offers, read periodically.
     pub machine_types: watch::Receiver<MachineTypes>,
     /// Requests from the API, from other controllers and from `leader_sync`.
@@ -107,7 +107,7 @@
     /// already.
     async fn lead(&mut self, leader_term: LeaderTerm) {
         if !self.config.standby.election_won(leader_term.term(), self.config.clock.now()) {
-            self.config.resign_requested.notify_one();
+            self.config.resignation.request(leader_term.term());
             // Waits until the election actor has given up the leadership.
             let _ = self.config.leadership_view.changed().await;
             return;
--- a/crates/controller/src/actor/timer.rs
+++ b/crates/controller/src/actor/timer.rs
@@ -59,7 +59,7 @@
         if should_step_down {
             tracing::info!(term = cluster.term(), "stepping down: no worker sends heartbeats");
             self.stepped_down_at = Some(now);
-            self.config.resign_requested.notify_one();
+            self.config.resignation.request(cluster.term());
         }
         should_step_down
     }
--- a/crates/controller/src/leadership/election.rs
+++ b/crates/controller/src/leadership/election.rs
@@ -5,6 +5,7 @@
 use super::clock::Clock;
 use super::leader_key::LeaderKey;
 use super::lease::{LeadershipLease, lease_expiry};
+use super::resignation::Resignation;
 use super::term::{LeaderTerm, LeadershipView};
 use crate::records::{LEADER_KEY, LEADER_PREFIX};
 use hookway_clients::{CommitOutcome, Listing, StoreClient, StoreError};
@@ -31,8 +32,8 @@
     pub lease: Arc<LeadershipLease>,
     /// The channel on which this actor publishes who leads.
     pub leadership_view: watch::Sender<LeadershipView>,
-    /// Notified by the controller actor when this controller should give up its leadership.
-    pub resign_requested: Arc<Notify>,
+    /// The term that the controller actor requests to give up.
+    pub resignation: Resignation,
     /// Notified when the leader has been silent for unusually long. The election actor then reads
     /// the leader key at once, because a watch whose connection broke unnoticed delivers no event.
     pub leader_suspected: Arc<Notify>,
@@ -268,7 +269,7 @@
         loop {
             tokio::select! {
                 () = sleep(delay) => {}
-                () = self.config.resign_requested.notified() => return TermEnd::Resigned,
+                () = self.config.resignation.requested(term) => return TermEnd::Resigned,
             }
             let sent_at = self.config.clock.now();
             match self.config.store.extend_lease(lease_id).await {
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -19,6 +19,7 @@
 mod election;
 mod leader_key;
 mod lease;
+mod resignation;
 mod term;
 
 pub use campaign::{Election, LeaderlessState, WatermarkCompleteness, last_fencing_token};
@@ -27,4 +28,5 @@
 pub use election::{ElectionActor, ElectionActorConfig};
 pub use leader_key::LeaderKey;
 pub use lease::{LeadershipLease, lease_expiry};
+pub use resignation::Resignation;
 pub use term::{LeaderTerm, LeadershipView};
--- a/crates/controller/src/run.rs
+++ b/crates/controller/src/run.rs
@@ -10,7 +10,7 @@
 use crate::http;
 use crate::leader_sync::LeaderSync;
 use crate::leadership::{
-    Clock, ElectionActor, ElectionActorConfig, LeadershipLease, LeadershipView,
+    Clock, ElectionActor, ElectionActorConfig, LeadershipLease, LeadershipView, Resignation,
 };
 use crate::peers::{self, Peers};
 use crate::settings::{OperatorSettings, PlatformSettings, Settings};
@@ -23,7 +23,7 @@
 use salvo::prelude::{Server, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
 /// Why a controller could not start.
 #[derive(Debug, thiserror::Error)]
@@ -108,7 +108,7 @@
     cloud: CloudClient,
     peers: Arc<Peers>,
     lease: Arc<LeadershipLease>,
-    resign_requested: Arc<Notify>,
+    resignation: Resignation,
     standby_signals: StandbySignals,
     final_states: Arc<FinalStateCache>,
     view: watch::Receiver<LeadershipView>,
@@ -132,7 +132,7 @@
             operator,
             clock: Clock::default(),
             lease: Arc::default(),
-            resign_requested: Arc::default(),
+            resignation: Resignation::default(),
             standby_signals: StandbySignals::default(),
             final_states: Arc::default(),
             view,
@@ -153,7 +153,7 @@
             clock: self.clock,
             lease: self.lease.clone(),
             leadership_view,
-            resign_requested: self.resign_requested.clone(),
+            resignation: self.resignation.clone(),
             leader_suspected: self.standby_signals.leader_suspected.clone(),
             lease_length: self.operator.replication.leader_lease_length,
             has_usable_copy: self.standby_signals.has_usable_copy.clone(),
@@ -181,7 +181,7 @@
             clock: self.clock,
             lease: self.lease.clone(),
             leadership_view: self.view.clone(),
-            resign_requested: self.resign_requested.clone(),
+            resignation: self.resignation.clone(),
             machine_types: self.machine_types.clone(),
             requests,
             final_states: self.final_states.clone(),
--- a/crates/controller/tests/controller_actor.rs
+++ b/crates/controller/tests/controller_actor.rs
@@ -9,7 +9,7 @@
 use hookway_controller::api::{ApiService, ApiServiceConfig, Origin, StoreClients};
 use hookway_controller::cluster_state::{ControllerConfig, JobLookup};
 use hookway_controller::leadership::{
-    Clock, ElectionActor, ElectionActorConfig, LeadershipLease, LeadershipView,
+    Clock, ElectionActor, ElectionActorConfig, LeadershipLease, LeadershipView, Resignation,
 };
 use hookway_controller::networks::Networks;
 use hookway_controller::peers::{self, Peers};
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
 const JOB: &str = r#"{"NameId":"req-000412","Lane":"train","Owner":"vision","Shape":"array","Rank":"high",
@@ -60,7 +60,7 @@
     let (view_tx, view) = watch::channel(LeadershipView::default());
     let (machine_types_tx, machine_types_rx) = watch::channel(Some(Arc::new(machine_types())));
     let (requests_tx, requests_rx) = mpsc::channel(64);
-    let (lease, resign_requested) = (Arc::new(LeadershipLease::default()), Arc::new(Notify::new()));
+    let (lease, resignation) = (Arc::new(LeadershipLease::default()), Resignation::default());
     let clock = Clock::default();
     let signals = StandbySignals::default();
     let addresses: HashMap<String, String> = peer_addresses
@@ -92,7 +92,7 @@
         clock,
         lease: lease.clone(),
         leadership_view: view.clone(),
-        resign_requested: resign_requested.clone(),
+        resignation: resignation.clone(),
         machine_types: machine_types_rx,
         requests: requests_rx,
         final_states,
@@ -110,7 +110,7 @@
             clock,
             lease,
             leadership_view: view_tx,
-            resign_requested,
+            resignation,
             leader_suspected: signals.leader_suspected,
             lease_length: hookway_constants::DEFAULT_LEADER_LEASE,
             has_usable_copy: signals.has_usable_copy,
--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -5,7 +5,7 @@
 use hookway_clients::StoreClient;
 use hookway_controller::leadership::{
     Clock, ElectionActor, ElectionActorConfig, LeaderTerm, LeadershipLease, LeadershipView,
-    WatermarkCompleteness,
+    Resignation, WatermarkCompleteness,
 };
 use hookway_controller::records::{
     COMPLETE_WATERMARKS_KEY, LEADER_KEY, LEADER_TERM_KEY, LeaderRecord,
@@ -27,7 +27,7 @@
     lease: Arc<LeadershipLease>,
     clock: Clock,
     suspicion: Arc<Notify>,
-    resignation: Arc<Notify>,
+    resignation: Resignation,
     election_actor: tokio::task::JoinHandle<()>,
 }
 
@@ -53,14 +53,14 @@
     let lease = Arc::new(LeadershipLease::default());
     let clock = Clock::default();
     let suspicion = Arc::new(Notify::new());
-    let resignation = Arc::new(Notify::new());
+    let resignation = Resignation::default();
     let election_actor = ElectionActor::new(ElectionActorConfig {
         controller_name: name.into(),
         store: StoreClient::new(address, 1_000.0),
         clock,
         lease: lease.clone(),
         leadership_view: view_tx,
-        resign_requested: resignation.clone(),
+        resignation: resignation.clone(),
         leader_suspected: suspicion.clone(),
         lease_length: hookway_constants::DEFAULT_LEADER_LEASE,
         has_usable_copy: Arc::default(),
@@ -293,7 +293,7 @@
     let mut controller = start("one", &address);
     let first = wait_for_own_term(&mut controller).await;
     server.begin_outage();
-    controller.resignation.notify_one();
+    controller.resignation.request(first.term());
     controller
         .view
         .wait_for(|view| view.own_term.is_none())
@@ -307,6 +307,27 @@
     assert!(!server.expire_lease(first.lease_id()), "the lease of the ended term was revoked");
 }
 
+/// Guards against a leader that gives up a term because of an earlier one: that it lost the earlier term was shown by a
+/// transaction as well as by the extension of its lease, and the request to resign comes when the term has ended already.
+#[tokio::test]
+async fn request_to_resign_that_comes_after_end_of_term_does_not_end_next_term() {
+    let (server, address) = start_store().await;
+    let mut controller = start("one", &address);
+    let first = wait_for_own_term(&mut controller).await;
+    server.expire_lease(first.lease_id());
+    controller
+        .view
+        .wait_for(|view| view.own_term.is_none())
+        .await
+        .expect("the election actor runs");
+    controller.resignation.request(first.term());
+    let second = wait_for_own_term(&mut controller).await;
+    let next_term = first.term() + hookway_constants::TOKENS_PER_TERM;
+    assert_eq!(second.term(), next_term, "no term between was given up");
+    wait_for_request(&server, &format!("POST /grants/{}/extend", second.lease_id())).await;
+    assert_eq!(controller.view.borrow().own_term, Some(second), "the next term goes on");
+}
+
 /// Guards against seconds without a leader: a leader steps down while the store refuses its requests. It releases its lease
 /// once the store is back, so that another controller leads before it campaigns again.
 #[tokio::test]
@@ -317,7 +338,7 @@
     let mut controller_2 = start("two", &address);
     wait_for_request(&server, "GET /watch").await;
     server.begin_outage();
-    controller_1.resignation.notify_one();
+    controller_1.resignation.request(first.term());
     server.wait_for_refused_requests(1).await;
     server.end_outage();
     let elected = wait_for_own_term(&mut controller_2);
--- a/crates/controller/tests/store_keys.rs
+++ b/crates/controller/tests/store_keys.rs
@@ -6,7 +6,7 @@
 use harness::{LeaderHarness, job, small_worker};
 use hookway_clients::StoreClient;
 use hookway_controller::leadership::{
-    Clock, ElectionActor, ElectionActorConfig, LeadershipLease, LeadershipView,
+    Clock, ElectionActor, ElectionActorConfig, LeadershipLease, LeadershipView, Resignation,
 };
 use hookway_controller::records;
 use hookway_testkit::StoreServer;
@@ -86,7 +86,7 @@
         clock: Clock::default(),
         lease: Arc::new(LeadershipLease::default()),
         leadership_view: view_tx,
-        resign_requested: Arc::new(Notify::new()),
+        resignation: Resignation::default(),
         leader_suspected: Arc::new(Notify::new()),
         lease_length: std::time::Duration::from_secs(5),
         has_usable_copy: Arc::default(),
