--- a/crates/controller/tests/simulated_days.rs
+++ b/crates/controller/tests/simulated_days.rs
@@ -26,13 +26,8 @@
     simulation.counts
 }
 
-/// The seeds `0..default_count`, or those in `HOOKWAY_MODEL_SEEDS`. To run more seeds:
+/// The seeds in `HOOKWAY_MODEL_SEEDS` (`FROM..TO`), or `default` if it is not set. To run more seeds:
 /// `HOOKWAY_MODEL_SEEDS=2000..3000 cargo test --release --test simulated_days`.
-fn seeds(default_count: u64) -> std::ops::Range<u64> {
-    seeds_or(0..default_count)
-}
-
-/// The seeds in `HOOKWAY_MODEL_SEEDS` (`FROM..TO`), or `default` if it is not set.
 fn seeds_or(default: std::ops::Range<u64>) -> std::ops::Range<u64> {
     let requested = std::env::var("HOOKWAY_MODEL_SEEDS").ok();
     let range = requested.as_deref().and_then(|range| range.split_once(".."));
@@ -40,11 +35,23 @@
     range.map_or(default, |(from, to)| number(from)..number(to))
 }
 
+/// The events of all days that a test has run.
+struct Totals {
+    day_count: usize,
+    counts: EventCounts,
+}
+
+/// Runs a day for each seed in `HOOKWAY_MODEL_SEEDS`, or in `default_seeds` if it is not set.
+fn run_days(default_seeds: std::ops::Range<u64>, create: impl Fn(u64) -> Simulation) -> Totals {
+    let days: Vec<EventCounts> =
+        seeds_or(default_seeds).map(|seed| run_day(seed, create(seed))).collect();
+    let counts = days.iter().fold(EventCounts::default(), EventCounts::plus);
+    println!("{counts:?}");
+    Totals { day_count: days.len(), counts }
+}
+
 fn run_scenario_days(kind: FaultScenario, default_days: u64) -> EventCounts {
-    let days: Vec<EventCounts> = seeds(default_days)
-        .map(|seed| run_day(seed, Simulation::with_scenario(kind, seed)))
-        .collect();
-    days.iter().fold(EventCounts::default(), EventCounts::plus)
+    run_days(0..default_days, |seed| Simulation::with_scenario(kind, seed)).counts
 }
 
 /// Cancellations are confirmed by another controller while the store refuses the leader. Even so, no task of a
@@ -52,7 +59,6 @@
 #[test]
 fn tasks_cancelled_while_leader_is_refused_are_removed_within_limit() {
     let totals = run_scenario_days(FaultScenario::LeaderRefused, 24);
-    println!("{totals:?}");
     assert!(totals.cancelled_without_leader > 40 && totals.lessee_extensions > 100, "{totals:?}");
     assert!(
         totals.stopped_by_lessees > 40,
@@ -63,14 +69,12 @@
 #[test]
 fn tasks_cancelled_while_leader_is_isolated_are_removed_within_limit() {
     let totals = run_scenario_days(FaultScenario::LeaderIsolated, 12);
-    println!("{totals:?}");
     assert!(totals.cancelled_without_leader > 20 && totals.lessee_extensions > 50, "{totals:?}");
 }
 
 #[test]
 fn cancelled_tasks_in_partitioned_leader_zone_are_removed_within_limit() {
     let totals = run_scenario_days(FaultScenario::LeaderZonePartitioned, 12);
-    println!("{totals:?}");
     assert!(totals.cancelled_without_leader > 20 && totals.lessee_extensions > 50, "{totals:?}");
 }
 
@@ -79,16 +83,12 @@
 #[test]
 fn cancelled_tasks_reachable_only_by_shard_lessee_are_removed_within_limit() {
     let totals = run_scenario_days(FaultScenario::OnlyLesseeReachable, 12);
-    println!("{totals:?}");
     assert!(totals.cancelled > 50, "{totals:?}");
 }
 
 #[test]
 fn random_faults_violate_no_invariant_and_every_job_finishes() {
-    let days: Vec<EventCounts> =
-        seeds_or(60..120).map(|seed| run_day(seed, Simulation::new(seed))).collect();
-    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
-    println!("{totals:?}");
+    let Totals { day_count, counts: totals } = run_days(60..120, Simulation::new);
     // The days must have contained the events that they are meant to test.
     assert!(
         totals.starts > 5_000
@@ -96,7 +96,7 @@
             && totals.zone_bound_starts > 1_000,
         "{totals:?}"
     );
-    assert!(totals.terms > 4 * days.len() && totals.resumed_terms > 5, "{totals:?}");
+    assert!(totals.terms > 4 * day_count && totals.resumed_terms > 5, "{totals:?}");
     assert!(
         totals.task_errors > 300 && totals.probe_responses > 100 && totals.lessee_extensions > 50,
         "{totals:?}"
@@ -111,10 +111,7 @@
 /// Leaders crash or freeze while gangs are partially placed, and new leaders have standby copies of any age.
 #[test]
 fn standby_failover_amid_gangs_violates_no_invariant() {
-    let days: Vec<EventCounts> =
-        seeds_or(360..420).map(|seed| run_day(seed, Simulation::with_standbys(seed))).collect();
-    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
-    println!("{totals:?}");
+    let totals = run_days(360..420, Simulation::with_standbys).counts;
     assert!(totals.warm_starts > 100 && totals.gang_completion_starts > 10, "{totals:?}");
     assert!(totals.rejected_follow_responses > 100, "{totals:?}");
 }
@@ -123,10 +120,7 @@
 /// standby. It lags, suspects the leader, and may become leader without a usable copy.
 #[test]
 fn one_way_controller_partitions_violate_no_invariant() {
-    let days: Vec<EventCounts> =
-        seeds(12).map(|seed| run_day(seed, Simulation::with_one_way_partitions(seed))).collect();
-    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
-    println!("{totals:?}");
+    let totals = run_days(0..12, Simulation::with_one_way_partitions).counts;
     assert!(totals.one_way_partitions > 50 && totals.warm_starts > 20, "{totals:?}");
 }
 
@@ -136,11 +130,7 @@
 /// machines if an assumed watermark counts as a durable one and every election writes the marker.
 #[test]
 fn election_faults_start_no_task_twice() {
-    let days: Vec<EventCounts> = seeds_or(320..364)
-        .map(|seed| run_day(seed, Simulation::with_election_faults(seed)))
-        .collect();
-    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
-    println!("{totals:?}");
+    let totals = run_days(320..364, Simulation::with_election_faults).counts;
     assert!(
         totals.lost_election_responses > 40 && totals.terms_with_refused_writes > 40,
         "{totals:?}"
@@ -153,12 +143,9 @@
 /// the new leader extends the leases of workers that have not shown its token.
 #[test]
 fn flapping_networks_start_no_task_twice() {
-    let days: Vec<EventCounts> = seeds_or(400..430)
-        .map(|seed| run_day(seed, Simulation::with_flapping_networks(seed)))
-        .collect();
-    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
-    println!("{totals:?}");
-    assert!(totals.network_interruptions > 3 * days.len(), "{totals:?}");
+    let Totals { day_count, counts: totals } =
+        run_days(400..430, Simulation::with_flapping_networks);
+    assert!(totals.network_interruptions > 3 * day_count, "{totals:?}");
     assert!(totals.held_messages > 3 * totals.network_interruptions, "{totals:?}");
 }
 
@@ -168,12 +155,9 @@
 /// that has just started revokes it with seed 1209.
 #[test]
 fn slow_elections_have_one_leader_at_a_time() {
-    let days: Vec<EventCounts> = seeds_or(1_200..1_230)
-        .map(|seed| run_day(seed, Simulation::with_slow_elections(seed)))
-        .collect();
-    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
-    println!("{totals:?}");
-    assert!(totals.terms > 8 * days.len() && totals.lost_election_responses > 60, "{totals:?}");
+    let Totals { day_count, counts: totals } =
+        run_days(1_200..1_230, Simulation::with_slow_elections);
+    assert!(totals.terms > 8 * day_count && totals.lost_election_responses > 60, "{totals:?}");
     assert!(totals.terms_found_by_read > 30 && totals.revoked_terms > 30, "{totals:?}");
     assert!(totals.leader_changes_between_reads > 15, "{totals:?}");
 }
@@ -183,13 +167,9 @@
 /// two machines if a machine counts as gone as soon as a list lacks it.
 #[test]
 fn stale_reads_violate_no_invariant_and_every_job_finishes() {
-    let days: Vec<EventCounts> = seeds_or(1_700..1_730)
-        .map(|seed| run_day(seed, Simulation::with_stale_reads(seed)))
-        .collect();
-    let totals = days.iter().fold(EventCounts::default(), EventCounts::plus);
-    println!("{totals:?}");
-    assert!(totals.lists_older_than_previous > 5 * days.len(), "{totals:?}");
-    assert!(totals.listed_after_deletion > 5 * days.len(), "{totals:?}");
+    let Totals { day_count, counts: totals } = run_days(1_700..1_730, Simulation::with_stale_reads);
+    assert!(totals.lists_older_than_previous > 5 * day_count, "{totals:?}");
+    assert!(totals.listed_after_deletion > 5 * day_count, "{totals:?}");
     assert!(totals.outdated_rereads > 10, "{totals:?}");
 }
 
--- a/crates/controller/tests/simulation/flapping.rs
+++ b/crates/controller/tests/simulation/flapping.rs
@@ -2,9 +2,8 @@
 //! back for a moment after the next leader was elected, and lose it again. What was held back is delivered in that
 //! moment: start commands of the previous leader, and heartbeats whose connections were still being opened.
 
-use super::controllers::Version;
 use super::messages::Message;
-use super::{CONTROLLERS, Controller, Simulation, ms};
+use super::{Simulation, ms};
 use hookway_time::MonotonicTime;
 use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
@@ -45,10 +44,7 @@
     /// Creates a day on which the networks of machines flap while leaders change, with no other faults of controllers,
     /// zones and the store. All controllers have the new version from the beginning.
     pub fn with_flapping_networks(seed: u64) -> Self {
-        let mut simulation = Self::new(seed);
-        simulation.controllers = (0..CONTROLLERS.len())
-            .map(|n| Controller::new(n, Version::New, n as u64, MonotonicTime::ZERO))
-            .collect();
+        let mut simulation = Self::with_new_version(seed);
         simulation.flapping_network = Some(FlappingNetwork::default());
         simulation
     }
--- a/crates/controller/tests/simulation/mod.rs
+++ b/crates/controller/tests/simulation/mod.rs
@@ -139,11 +139,15 @@
     ZONES.iter().position(|known| *known == zone).expect("a known zone")
 }
 
+/// Creates the controllers of a day that begins with this version.
+fn controllers_with_version(version: Version) -> Vec<Controller> {
+    let controller = |n: usize| Controller::new(n, version, n as u64, MonotonicTime::ZERO);
+    (0..CONTROLLERS.len()).map(controller).collect()
+}
+
 impl Simulation {
     pub fn new(seed: u64) -> Self {
-        let controllers = (0..CONTROLLERS.len())
-            .map(|n| Controller::new(n, Version::Old, n as u64, MonotonicTime::ZERO))
-            .collect();
+        let controllers = controllers_with_version(Version::Old);
         Self {
             rng: StdRng::seed_from_u64(seed),
             now: MonotonicTime::ZERO,
@@ -172,13 +176,15 @@
         }
     }
 
+    /// Creates a day as `new` does, on which all controllers have the new version from the beginning.
+    fn with_new_version(seed: u64) -> Self {
+        Self { controllers: controllers_with_version(Version::New), ..Self::new(seed) }
+    }
+
     /// Creates a day on which most jobs are gangs, and leaders often fail while a gang is partially placed. All
     /// controllers have the new version from the beginning, so that they follow the leader.
     pub fn with_standbys(seed: u64) -> Self {
-        let mut simulation = Self::new(seed);
-        simulation.controllers = (0..CONTROLLERS.len())
-            .map(|n| Controller::new(n, Version::New, n as u64, MonotonicTime::ZERO))
-            .collect();
+        let mut simulation = Self::with_new_version(seed);
         simulation.fails_leaders_amid_gangs = true;
         simulation.leader_fault_rate = 4;
         simulation
--- a/crates/controller/tests/simulation/slow_elections.rs
+++ b/crates/controller/tests/simulation/slow_elections.rs
@@ -2,7 +2,7 @@
 //! or after their lease ends. So a list of the keys below `lead/` and the read of the leader key after it may show
 //! different leaders.
 
-use super::controllers::{Controller, Version, leader_lease_expiry};
+use super::controllers::{Version, leader_lease_expiry};
 use super::messages::Message;
 use super::{CONTROLLERS, Simulation, StoredLeadership, ms};
 use hookway_constants as constants;
@@ -58,10 +58,7 @@
     /// Creates a day with slow elections, and no other faults of controllers, zones and the store but its outages. All
     /// controllers have the new version from the beginning.
     pub fn with_slow_elections(seed: u64) -> Self {
-        let mut simulation = Self::new(seed);
-        simulation.controllers = (0..CONTROLLERS.len())
-            .map(|n| Controller::new(n, Version::New, n as u64, MonotonicTime::ZERO))
-            .collect();
+        let mut simulation = Self::with_new_version(seed);
         simulation.slow_elections = Some(SlowElections::default());
         simulation
     }
