--- a/crates/controller/tests/leadership.rs
+++ b/crates/controller/tests/leadership.rs
@@ -302,9 +302,12 @@
     // The extension and the release are refused; the lease goes on in the store.
     server.wait_for_refused_requests(1).await;
     server.end_outage();
+    server.take_requests();
     let next = wait_for_own_term(&mut controller).await;
     assert_eq!(next.term(), first.term() + hookway_constants::TOKENS_PER_TERM);
     assert!(!server.expire_lease(first.lease_id()), "the lease of the ended term was revoked");
+    let reads_leader_key = |request: &String| request == "GET /keys/lead/now";
+    assert!(!server.take_requests().iter().any(reads_leader_key), "its own record is not found");
 }
 
 /// Guards against a leader that gives up a term because of an earlier one: that it lost the earlier term was shown by a
