Scripted store answers leases as the protocol has it; other success responses in a test of their own

It now has 200 and no body; that 201 and a body are read as well is checked by itself, as strictly as before.

--- a/crates/clients/tests/requests.rs
+++ b/crates/clients/tests/requests.rs
@@ -91,8 +91,8 @@
         (200, last_page),
         (200, r#"{"Epoch":11}"#),
         (409, r#"{"failed":["a/b"],"Epoch":11}"#),
-        (201, r#"{"Permit":7}"#),
-        (200, "{}"),
+        (200, r#"{"Permit":7}"#),
+        (200, ""),
         (200, ""),
         (200, r#"{"Epoch":12}"#),
     ])
@@ -133,6 +133,16 @@
     );
 }
 
+/// The protocol promises status 200 and no body of an extension. Others that mean success are read as well.
+#[tokio::test]
+async fn leases_are_granted_and_extended_with_other_success_responses() {
+    let (address, requests) = start_server(&[(201, r#"{"Permit":7}"#), (200, "{}")]).await;
+    let store = StoreClient::new(&address, HIGH_RATE);
+    assert_eq!(store.grant_lease(Duration::from_millis(5_000)).await.expect("a lease"), 7);
+    store.extend_lease(7).await.expect("extended");
+    received(requests).await;
+}
+
 #[tokio::test]
 async fn list_ends_at_last_or_empty_page_and_has_revision_of_first_page() {
     let (address, requests) = start_server(&[
