--- a/review/rig-2/src/bin/review-3/cases/error_once.rs
+++ b/review/rig-2/src/bin/review-3/cases/error_once.rs
@@ -1,6 +1,6 @@
 //! A task ends once with `error`, on the only machine that fits it.
 
-use super::{Deployment, ESTE, OESTE, WAIT_LIMIT, rebuild_grilla, sirve_miniatura};
+use super::{Deployment, ESTE, OESTE, WAIT_LIMIT, rebuild_grilla, sirve_miniatura, thumbs};
 use crate::Verdict;
 use crate::fleet::Capacity;
 use crate::record::Record;
@@ -19,7 +19,7 @@
         Capacity { flavor: "grande", yard: ESTE, count: 1, up: 1 },
         Capacity { flavor: "chico", yard: OESTE, count: 3, up: 3 },
     ];
-    let mut deployment = Deployment::start(capacity, 0.0, record, folder)?;
+    let mut deployment = Deployment::start(thumbs(0.0), capacity, record, folder)?;
     if !deployment.user.wait_until_up(Duration::from_secs(10)) {
         return Ok(Verdict::CouldNotRun("the controllers are not up".into()));
     }
--- a/review/rig-2/src/bin/review-3/cases/full_limit.rs
+++ b/review/rig-2/src/bin/review-3/cases/full_limit.rs
@@ -1,6 +1,6 @@
 //! A gang waits for more of its team's limit than a service of the team leaves, and an array of the team fits.
 
-use super::{Deployment, OESTE, WAIT_LIMIT, recorte_lote, relleno_nocturno, sirve_miniatura};
+use super::{Deployment, OESTE, WAIT_LIMIT, recorte_lote, relleno_nocturno, sirve_miniatura, thumbs};
 use crate::Verdict;
 use crate::fleet::Capacity;
 use crate::record::Record;
@@ -30,7 +30,7 @@
 
 pub fn run(trouble: bool, record: &Arc<Record>, folder: &Path) -> io::Result<Verdict> {
     let capacity = vec![Capacity { flavor: "chico", yard: OESTE, count: 6, up: 6 }];
-    let mut deployment = Deployment::start(capacity, LIMIT_CPUS, record, folder)?;
+    let mut deployment = Deployment::start(thumbs(LIMIT_CPUS), capacity, record, folder)?;
     if !deployment.user.wait_until_up(Duration::from_secs(10)) {
         return Ok(Verdict::CouldNotRun("the controllers are not up".into()));
     }
