--- a/review/rig-2/src/bin/review-3/cases.rs
+++ b/review/rig-2/src/bin/review-3/cases.rs
@@ -4,6 +4,7 @@
 mod error_once;
 mod full_limit;
 mod held_machine;
+mod stopped_in_vain;
 mod taking_turns;
 
 use crate::Verdict;
@@ -31,6 +32,7 @@
     match case {
         "error-once" => error_once::run(trouble, record, folder),
         "cheaper-elsewhere" => cheaper_elsewhere::run(trouble, record, folder),
+        "stopped-in-vain" => stopped_in_vain::run(trouble, record, folder),
         "taking-turns" => taking_turns::run(trouble, record, folder),
         "held-machine" => held_machine::run(trouble, record, folder),
         "full-limit" => full_limit::run(trouble, record, folder),
--- a/review/rig-2/src/bin/review-3/fleet.rs
+++ b/review/rig-2/src/bin/review-3/fleet.rs
@@ -176,6 +176,8 @@
     timing: Timing,
     record: Arc<Record>,
     state: Mutex<State>,
+    /// Held while a machine is added, so that each gets a name of its own.
+    adding: Mutex<()>,
 }
 
 impl Fleet {
@@ -196,6 +198,7 @@
             timing,
             record,
             state: Mutex::default(),
+            adding: Mutex::default(),
         });
         for index in 0..fleet.capacity.len() {
             for _ in 0..fleet.capacity[index].up {
@@ -263,6 +266,7 @@
 
     fn add_machine(self: &Arc<Self>, label: &str, yard: &'static str, age_s: f64) -> std::io::Result<String> {
         let flavor = self.flavors.iter().find(|flavor| flavor.label == label).expect("a known type").clone();
+        let _adding = self.adding.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let index = self.lock().machines.len();
         let fleet = self.clone();
         let address = serve(&self.ip, move |request| fleet.answer_orders(index, request))?;
