--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -12,6 +12,6 @@
 }
 trap clean_up EXIT
 trap 'kill "$rig" 2>/dev/null; exit 2' INT TERM
-target/review-2/release/review-3 full-limit "$here/record.txt" "$tmp" &
+target/review-2/release/review-3 held-machine "$here/record.txt" "$tmp" &
 rig=$!
 wait "$rig"
