--- a/review/rig-2/src/bin/review-3/cases/held_machine.rs
+++ b/review/rig-2/src/bin/review-3/cases/held_machine.rs
@@ -35,7 +35,7 @@
 }
 
 pub fn run(trouble: bool, record: &Arc<Record>, folder: &Path) -> io::Result<Verdict> {
-    let capacity = vec![Capacity { flavor: "mic", yard: CLUJ, count: 2, up: 2 }];
+    let capacity = vec![Capacity { flavor: "mic", yard: CLUJ, count: 2, up: 2, spot: false }];
     let mut deployment = Deployment::start(grid(0.0), capacity, record, folder)?;
     if !deployment.user.wait_until_up(Duration::from_secs(10)) {
         return Ok(Verdict::CouldNotRun("the controllers are not up".into()));
--- a/review/rig-2/src/bin/review-3/cases/stopped_in_vain.rs
+++ b/review/rig-2/src/bin/review-3/cases/stopped_in_vain.rs
@@ -20,8 +20,8 @@
 pub fn run(trouble: bool, record: &Arc<Record>, folder: &Path) -> io::Result<Verdict> {
     let grandes = usize::from(!trouble);
     let capacity = vec![
-        Capacity { flavor: "chico", yard: OESTE, count: 3, up: 3 },
-        Capacity { flavor: "grande", yard: ESTE, count: grandes, up: grandes },
+        Capacity { flavor: "chico", yard: OESTE, count: 3, up: 3, spot: false },
+        Capacity { flavor: "grande", yard: ESTE, count: grandes, up: grandes, spot: false },
     ];
     let mut deployment = Deployment::start(thumbs(LIMIT_CPUS), capacity, record, folder)?;
     if !deployment.user.wait_until_up(Duration::from_secs(10)) {
--- a/review/rig-2/src/bin/review-3/cases/swarm.rs
+++ b/review/rig-2/src/bin/review-3/cases/swarm.rs
@@ -21,7 +21,8 @@
 const SWARM_CPUS: f64 = 0.25;
 /// The limit of the guest team, CPUs: eight jobs of the swarm.
 const GUEST_LIMIT: f64 = 2.0;
-const MACHINES_PER_ZONE: usize = 94;
+/// The small machines of the site file: zone, ordinary ones, spot ones.
+const MACHINES: [(&str, usize, usize); 3] = [(VEST, 44, 24), (CLUJ, 70, 42), (IASI, 55, 30)];
 /// What the other team is guaranteed, CPUs: more than all its jobs take.
 const GUARANTEE: f64 = 1_000.0;
 /// An array of the other team, with a task on each machine that leaves one CPU free.
@@ -100,14 +101,18 @@
 }
 
 pub fn run(trouble: bool, record: &Arc<Record>, folder: &Path) -> io::Result<Verdict> {
-    let zone = |yard| Capacity { flavor: "mic", yard, count: MACHINES_PER_ZONE, up: MACHINES_PER_ZONE };
+    let pool = |yard, count, spot| Capacity { flavor: "mic", yard, count, up: count, spot };
+    let capacity: Vec<Capacity> = MACHINES
+        .iter()
+        .flat_map(|(yard, ordinary, spot)| [pool(*yard, *ordinary, false), pool(*yard, *spot, true)])
+        .collect();
+    let tasks: usize = capacity.iter().map(|pool| pool.up).sum();
     let mut site = grid_with_guest_limit(GUARANTEE, GUEST_LIMIT);
     site.limits.write_rps = Some(25.0);
-    let mut deployment = Deployment::start(site, vec![zone(VEST), zone(CLUJ), zone(IASI)], record, folder)?;
+    let mut deployment = Deployment::start(site, capacity, record, folder)?;
     if !deployment.user.wait_until_up(Duration::from_secs(10)) {
         return Ok(Verdict::CouldNotRun("the controllers are not up".into()));
     }
-    let tasks = 3 * MACHINES_PER_ZONE;
     let array = job(ARRAY, tasks as u32, 3.0, 250.0).body();
     if !deployment.submit(&array, Duration::from_secs(250), 0) || !deployment.wait_until_running(ARRAY, tasks) {
         return Ok(Verdict::CouldNotRun("the array of the other team does not run".into()));
--- a/review/rig-2/src/bin/review-3/cases/taking_turns.rs
+++ b/review/rig-2/src/bin/review-3/cases/taking_turns.rs
@@ -35,7 +35,7 @@
 }
 
 pub fn run(trouble: bool, record: &Arc<Record>, folder: &Path) -> io::Result<Verdict> {
-    let capacity = vec![Capacity { flavor: "mic", yard: CLUJ, count: 1, up: 1 }];
+    let capacity = vec![Capacity { flavor: "mic", yard: CLUJ, count: 1, up: 1, spot: false }];
     let mut deployment = Deployment::start(grid(GUARANTEE_CPUS), capacity, record, folder)?;
     if !deployment.user.wait_until_up(Duration::from_secs(10)) {
         return Ok(Verdict::CouldNotRun("the controllers are not up".into()));
--- a/review/rig-2/src/bin/review-3/fleet.rs
+++ b/review/rig-2/src/bin/review-3/fleet.rs
@@ -31,13 +31,14 @@
     pub yards: Vec<&'static str>,
 }
 
-/// The number of ordinary machines of a type that the cloud has in a zone. There are no spot machines.
+/// The number of machines of a type and kind that the cloud has in a zone.
 pub struct Capacity {
     pub flavor: &'static str,
     pub yard: &'static str,
     pub count: usize,
     /// How many of them are up at the start.
     pub up: usize,
+    pub spot: bool,
 }
 
 /// The timing of the workers, as in the settings.
@@ -107,6 +108,7 @@
     initial_age_s: f64,
     up_at: Instant,
     deleted_at: Option<Instant>,
+    spot: bool,
     tenure: u64,
     tick: u64,
     baton: u64,
@@ -141,7 +143,7 @@
             })
             .collect();
         j!({"Host": self.name, "Addr": self.address, "Flavor": self.flavor.label, "Yard": self.yard,
-            "Loaners": false, "Tenure": self.tenure, "Tick": self.tick, "Baton": self.baton,
+            "Loaners": self.spot, "Tenure": self.tenure, "Tick": self.tick, "Baton": self.baton,
             "EvictionS": null, "Pieces": pieces})
     }
 
@@ -202,7 +204,8 @@
         });
         for index in 0..fleet.capacity.len() {
             for _ in 0..fleet.capacity[index].up {
-                fleet.add_machine(fleet.capacity[index].flavor, fleet.capacity[index].yard, INITIAL_AGE_S)?;
+                let pool = &fleet.capacity[index];
+                fleet.add_machine(pool.flavor, pool.yard, INITIAL_AGE_S, pool.spot)?;
             }
         }
         let ticking = fleet.clone();
@@ -256,7 +259,13 @@
             .collect()
     }
 
-    fn add_machine(self: &Arc<Self>, label: &str, yard: &'static str, age_s: f64) -> std::io::Result<String> {
+    fn add_machine(
+        self: &Arc<Self>,
+        label: &str,
+        yard: &'static str,
+        age_s: f64,
+        spot: bool,
+    ) -> std::io::Result<String> {
         let flavor = self.flavors.iter().find(|flavor| flavor.label == label).expect("a known type").clone();
         let _adding = self.adding.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let index = self.lock().machines.len();
@@ -274,6 +283,7 @@
             initial_age_s: age_s,
             up_at,
             deleted_at: None,
+            spot,
             tenure: 1,
             tick: 0,
             baton: 0,
@@ -533,16 +543,16 @@
             return json(200, j!({"Hosts": names}));
         }
         let (flavor, yard) = (body["Flavor"].as_str(), body["Yard"].as_str());
-        let found = self.capacity.iter().find(|c| Some(c.flavor) == flavor && Some(c.yard) == yard);
         let is_spot = body["Loaners"].as_bool().unwrap_or(false);
-        let Some(pool) = found.filter(|_| !is_spot) else {
+        let is_pool = |c: &&Capacity| Some(c.flavor) == flavor && Some(c.yard) == yard && c.spot == is_spot;
+        let Some(pool) = self.capacity.iter().find(is_pool) else {
             return json(503, j!({"error": "no capacity"}));
         };
         let in_use = self
             .lock()
             .machines
             .iter()
-            .filter(|m| m.deleted_at.is_none() && m.flavor.label == pool.flavor && m.yard == pool.yard)
+            .filter(|m| m.deleted_at.is_none() && m.flavor.label == pool.flavor && m.yard == pool.yard && m.spot == is_spot)
             .count();
         let wanted = body["HowMany"].as_u64().unwrap_or(0) as usize;
         let count = wanted.min(pool.count.saturating_sub(in_use));
@@ -550,7 +560,7 @@
             return json(503, j!({"error": "no capacity"}));
         }
         let names: Vec<String> =
-            (0..count).filter_map(|_| self.add_machine(pool.flavor, pool.yard, 0.0).ok()).collect();
+            (0..count).filter_map(|_| self.add_machine(pool.flavor, pool.yard, 0.0, is_spot).ok()).collect();
         self.record.line(format!("cloud rents {names:?} for {body}"));
         self.lock().hires.insert(hire.to_owned(), names.clone());
         json(200, j!({"Hosts": names}))
@@ -575,7 +585,7 @@
                 let age_s = machine.initial_age_s + (now - machine.created_at).as_secs_f64();
                 let status = if now >= machine.up_at { "running" } else { "booting" };
                 j!({"NameId": machine.name, "Addr": machine.address, "Flavor": machine.flavor.label,
-                    "Yard": machine.yard, "Loaners": false, "Status": status, "AgeS": age_s})
+                    "Yard": machine.yard, "Loaners": machine.spot, "Status": status, "AgeS": age_s})
             })
             .collect();
         j!({"Hosts": hosts, "HasNext": listed.next().is_some()})
