--- a/review/rig-2/src/bin/review-3/cases.rs
+++ b/review/rig-2/src/bin/review-3/cases.rs
@@ -4,6 +4,7 @@
 mod error_once;
 mod full_limit;
 mod held_machine;
+mod taking_turns;
 
 use crate::Verdict;
 use crate::cluster::{Controllers, Node, User, nodes};
@@ -30,13 +31,14 @@
     match case {
         "error-once" => error_once::run(trouble, record, folder),
         "cheaper-elsewhere" => cheaper_elsewhere::run(trouble, record, folder),
+        "taking-turns" => taking_turns::run(trouble, record, folder),
         "held-machine" => held_machine::run(trouble, record, folder),
         "full-limit" => full_limit::run(trouble, record, folder),
         _ => Ok(Verdict::CouldNotRun(format!("no case {case}"))),
     }
 }
 
-/// A site of our pages: its machine types, and the settings table for a limit of its team (0: none).
+/// A site of our pages.
 struct Site {
     domains: [&'static str; 3],
     flavors: Vec<Flavor>,
@@ -95,8 +97,8 @@
 memory_mb = 200.0
 max_sockets = 4000
 "#,
-        team("equipo-portadas", cpus_max),
-        team("huesped-subtitulos", 0.0),
+        team("equipo-portadas", 0.0, cpus_max),
+        team("huesped-subtitulos", 0.0, 0.0),
         objective("wait", "rebuild-grilla", 30.0),
         objective("finished", "rebuild-grilla", 90.0),
         "[[settings.objectives]]\nkind = \"deadline\"\nclass = \"recorte-lote\"\nshare = 0.9\ntimes = 1.0\n",
@@ -111,8 +113,9 @@
     Site { domains: [OESTE, ESTE, OESTE], flavors, timing, limits, platform }
 }
 
-/// The address grid, `kit/sites/adresa-comuna.toml`. The guest team is that of `kit/more/LATER.md`.
-fn grid() -> Site {
+/// The address grid, `kit/sites/adresa-comuna.toml`, with a guarantee for its team (0: none). The guest team, without a
+/// guarantee, is that of `kit/more/LATER.md`.
+fn grid(guarantee_cpus: f64) -> Site {
     let flavors = vec![
         Flavor {
             label: "mic",
@@ -161,8 +164,8 @@
 memory_mb = 56.0
 max_sockets = 900
 "#,
-        team("echipa-registru", 0.0),
-        team("oaspete-cadastru", 0.0),
+        team("echipa-registru", guarantee_cpus, 0.0),
+        team("oaspete-cadastru", 0.0, 0.0),
         objective("wait", "reindex-national", 25.0),
         objective("finished", "reindex-national", 90.0),
         "[[settings.objectives]]\nkind = \"deadline\"\nclass = \"potrivire-zilnica\"\nshare = 0.85\ntimes = 1.0\n",
@@ -178,9 +181,9 @@
     Site { domains: [VEST, CLUJ, IASI], flavors, timing, limits, platform }
 }
 
-fn team(name: &str, cpus_max: f64) -> String {
+fn team(name: &str, cpus: f64, cpus_max: f64) -> String {
     format!(
-        "[[settings.teams]]\nname = \"{name}\"\ncpus = 0.0\ncpus_max = {cpus_max:.1}\ngpus = 0.0\ngpus_max = 0.0\n"
+        "[[settings.teams]]\nname = \"{name}\"\ncpus = {cpus:.1}\ncpus_max = {cpus_max:.1}\ngpus = 0.0\ngpus_max = 0.0\n"
     )
 }
 
--- a/review/rig-2/src/bin/review-3/cases/cheaper_elsewhere.rs
+++ b/review/rig-2/src/bin/review-3/cases/cheaper_elsewhere.rs
@@ -79,7 +79,7 @@
         Capacity { flavor: "mic", yard: CLUJ, count: 2, up: 2 },
         Capacity { flavor: "mare", yard: IASI, count: 1, up: 1 },
     ];
-    let mut deployment = Deployment::start(grid(), capacity, record, folder)?;
+    let mut deployment = Deployment::start(grid(0.0), capacity, record, folder)?;
     if !deployment.user.wait_until_up(Duration::from_secs(10)) {
         return Ok(Verdict::CouldNotRun("the controllers are not up".into()));
     }
