--- a/review/rig-2/src/bin/review-3/cases.rs
+++ b/review/rig-2/src/bin/review-3/cases.rs
@@ -1,10 +1,8 @@
 //! The cases, and the deployments that they share: those of our pages, with fewer machines.
 
-mod cheaper_elsewhere;
-mod error_once;
-mod full_limit;
 mod held_machine;
 mod stopped_in_vain;
+mod swarm;
 mod taking_turns;
 
 use crate::Verdict;
@@ -30,12 +28,10 @@
 
 pub fn run(case: &str, trouble: bool, record: &Arc<Record>, folder: &Path) -> io::Result<Verdict> {
     match case {
-        "error-once" => error_once::run(trouble, record, folder),
-        "cheaper-elsewhere" => cheaper_elsewhere::run(trouble, record, folder),
+        "swarm" => swarm::run(trouble, record, folder),
         "stopped-in-vain" => stopped_in_vain::run(trouble, record, folder),
         "taking-turns" => taking_turns::run(trouble, record, folder),
         "held-machine" => held_machine::run(trouble, record, folder),
-        "full-limit" => full_limit::run(trouble, record, folder),
         _ => Ok(Verdict::CouldNotRun(format!("no case {case}"))),
     }
 }
@@ -111,13 +107,18 @@
         gang_wait: Duration::from_secs(40),
         list_lag: Duration::from_secs(5),
     };
-    let limits = Limits { txn_ops: 24, value_bytes: 8 * 1024 };
+    let limits = Limits { txn_ops: 24, value_bytes: 8 * 1024, write_rps: None };
     Site { domains: [OESTE, ESTE, OESTE], flavors, timing, limits, platform }
 }
 
 /// The address grid, `kit/sites/adresa-comuna.toml`, with a guarantee for its team (0: none). The guest team, without a
 /// guarantee, is that of `kit/more/LATER.md`.
 fn grid(guarantee_cpus: f64) -> Site {
+    grid_with_guest_limit(guarantee_cpus, 0.0)
+}
+
+/// The same with a limit for the guest team (0: none).
+fn grid_with_guest_limit(guarantee_cpus: f64, guest_cpus_max: f64) -> Site {
     let flavors = vec![
         Flavor {
             label: "mic",
@@ -167,7 +168,7 @@
 max_sockets = 900
 "#,
         team("echipa-registru", guarantee_cpus, 0.0),
-        team("oaspete-cadastru", 0.0, 0.0),
+        team("oaspete-cadastru", 0.0, guest_cpus_max),
         objective("wait", "reindex-national", 25.0),
         objective("finished", "reindex-national", 90.0),
         "[[settings.objectives]]\nkind = \"deadline\"\nclass = \"potrivire-zilnica\"\nshare = 0.85\ntimes = 1.0\n",
@@ -179,7 +180,7 @@
         gang_wait: Duration::from_secs(35),
         list_lag: Duration::from_secs(4),
     };
-    let limits = Limits { txn_ops: 8, value_bytes: 8 * 1024 };
+    let limits = Limits { txn_ops: 8, value_bytes: 8 * 1024, write_rps: None };
     Site { domains: [VEST, CLUJ, IASI], flavors, timing, limits, platform }
 }
 
@@ -209,11 +210,12 @@
         let id = std::process::id();
         let ip = format!("127.{}.{}.{}", 1 + id / 62_500 % 250, 1 + id / 250 % 250, 1 + id % 250);
         let (store, state) = Store::start(&ip, site.limits)?;
-        let nodes = nodes(&ip, &site.domains)?;
+        let (nodes, held) = nodes(&ip, &site.domains)?;
         let named = |node: &Node| (node.label.clone(), node.api.clone());
         let names = nodes.iter().map(named).collect();
         let fleet = Fleet::start(&ip, names, site.flavors, capacity, site.timing, record.clone())?;
         let cloud = fleet.start_cloud()?;
+        drop(held);
         let controllers = Controllers::start(&nodes, &cloud, &state, &site.platform, folder)?;
         let user = User { nodes: nodes.iter().map(|node| node.api.clone()).collect(), record: record.clone() };
         Ok(Self { fleet, user, controllers, _store: store })
@@ -233,25 +235,30 @@
 
     /// Makes a job known to the workers, and submits it. `false`: it was not accepted.
     fn submit(&self, job: &Value, run: Duration, errors: u32) -> bool {
-        let number = |name: &str| job[name].as_f64().unwrap_or(0.0);
-        let facts = JobFacts {
-            is_gang: job["Shape"] == "group",
-            is_daemon: job["Shape"] == "daemon",
-            pieces: number("Pieces") as u32,
-            vcpus: number("Vcpus"),
-            ram_gb: number("RamGb"),
-            bundle: job["Bundle"].as_str().unwrap_or_default().to_owned(),
-            image_gb: number("ImageGb"),
-            snapshot_every_s: number("SnapshotEveryS"),
-            snapshot_s: number("SnapshotS"),
-            run,
-            errors_left: errors,
-        };
-        self.fleet.add_job(job["NameId"].as_str().unwrap_or_default(), facts);
+        make_known(&self.fleet, job, run, errors);
         matches!(self.user.submit(job), Some(200 | 201))
     }
 }
 
+/// Makes a job known to the workers.
+fn make_known(fleet: &Fleet, job: &Value, run: Duration, errors: u32) {
+    let number = |name: &str| job[name].as_f64().unwrap_or(0.0);
+    let facts = JobFacts {
+        is_gang: job["Shape"] == "group",
+        is_daemon: job["Shape"] == "daemon",
+        pieces: number("Pieces") as u32,
+        vcpus: number("Vcpus"),
+        ram_gb: number("RamGb"),
+        bundle: job["Bundle"].as_str().unwrap_or_default().to_owned(),
+        image_gb: number("ImageGb"),
+        snapshot_every_s: number("SnapshotEveryS"),
+        snapshot_s: number("SnapshotS"),
+        run,
+        errors_left: errors,
+    };
+    fleet.add_job(job["NameId"].as_str().unwrap_or_default(), facts);
+}
+
 /// A job of the class `rebuild-grilla`: a gang of one task that fills a `grande`.
 fn rebuild_grilla(id: &str) -> Value {
     json!({"NameId": id, "Lane": "rebuild-grilla", "Owner": "equipo-portadas", "Shape": "group", "Rank": "high",
@@ -260,14 +267,6 @@
         "SnapshotEveryS": 45.0, "SnapshotS": 3.0, "DueS": null})
 }
 
-/// A service of the class `sirve-miniatura`, which runs until its user calls it off.
-fn sirve_miniatura(id: &str, pieces: u32) -> Value {
-    json!({"NameId": id, "Lane": "sirve-miniatura", "Owner": "equipo-portadas", "Shape": "daemon",
-        "Rank": "production", "Pieces": pieces, "Vcpus": 1.0, "Gpus": 0.0, "RamGb": 1.6, "Bundle": "img-sirve",
-        "ImageGb": 0.2, "Flavors": ["chico"], "Yard": null, "Together": false, "Spread": false, "Loaners": false,
-        "GuessS": 0.0, "SnapshotEveryS": 0.0, "SnapshotS": 0.0, "DueS": null})
-}
-
 /// A job of the class `recorte-lote`: an array.
 fn recorte_lote(id: &str, pieces: u32, vcpus: f64) -> Value {
     json!({"NameId": id, "Lane": "recorte-lote", "Owner": "equipo-portadas", "Shape": "array", "Rank": "normal",
@@ -276,14 +275,6 @@
         "SnapshotEveryS": 0.0, "SnapshotS": 0.0, "DueS": 60.0})
 }
 
-/// A job of the guest team: an array that runs for longer than the test.
-fn relleno_nocturno(id: &str, pieces: u32, vcpus: f64) -> Value {
-    json!({"NameId": id, "Lane": "relleno-nocturno", "Owner": "huesped-subtitulos", "Shape": "array",
-        "Rank": "normal", "Pieces": pieces, "Vcpus": vcpus, "Gpus": 0.0, "RamGb": 2.3, "Bundle": "img-relleno",
-        "ImageGb": 0.2, "Flavors": null, "Yard": null, "Together": false, "Spread": false, "Loaners": true,
-        "GuessS": 600.0, "SnapshotEveryS": 0.0, "SnapshotS": 0.0, "DueS": null})
-}
-
 /// A job of the address grid. What is not given is left to the default of the class.
 struct GridJob {
     id: &'static str,
--- a/review/rig-2/src/bin/review-3/cluster.rs
+++ b/review/rig-2/src/bin/review-3/cluster.rs
@@ -23,8 +23,8 @@
     pub peer: String,
 }
 
-/// Chooses free ports of `ip` for a controller in each zone.
-pub fn nodes(ip: &str, domains: &[&'static str]) -> std::io::Result<Vec<Node>> {
+/// Chooses free ports of `ip` for a controller in each zone. The listeners hold the ports until the controllers start.
+pub fn nodes(ip: &str, domains: &[&'static str]) -> std::io::Result<(Vec<Node>, Vec<TcpListener>)> {
     let mut held = Vec::new();
     let mut free_address = || -> std::io::Result<String> {
         let listener = TcpListener::bind((ip, 0))?;
@@ -35,7 +35,8 @@
     let node = |(index, domain): (usize, &&'static str)| {
         Ok(Node { label: format!("worker-{index}"), domain, api: free_address()?, peer: free_address()? })
     };
-    domains.iter().enumerate().map(node).collect()
+    let nodes = domains.iter().enumerate().map(node).collect::<std::io::Result<Vec<Node>>>()?;
+    Ok((nodes, held))
 }
 
 /// The controller processes. They are killed when this is dropped.
--- a/review/rig-2/src/bin/review-3/fleet.rs
+++ b/review/rig-2/src/bin/review-3/fleet.rs
@@ -256,14 +256,6 @@
             .collect()
     }
 
-    /// Returns the CPUs that the tasks of all jobs in `jobs` use at this time.
-    pub fn used_vcpus(&self, jobs: &[&str]) -> f64 {
-        let state = self.lock();
-        let tasks = state.machines.iter().flat_map(|machine| &machine.tasks);
-        let live = tasks.filter(|task| task.is_live() && jobs.contains(&task.job.as_str()));
-        live.filter_map(|task| state.jobs.get(&task.job)).map(|job| job.vcpus).sum()
-    }
-
     fn add_machine(self: &Arc<Self>, label: &str, yard: &'static str, age_s: f64) -> std::io::Result<String> {
         let flavor = self.flavors.iter().find(|flavor| flavor.label == label).expect("a known type").clone();
         let _adding = self.adding.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/review/rig-2/src/bin/review-3/store.rs
+++ b/review/rig-2/src/bin/review-3/store.rs
@@ -34,12 +34,21 @@
 pub struct Limits {
     pub txn_ops: usize,
     pub value_bytes: usize,
+    /// Puts and deletes a second; bursts of one second's worth are allowed. `None`: the case stays far below.
+    pub write_rps: Option<f64>,
+}
+
+/// What is left of the limit on puts and deletes.
+struct Budget {
+    writes: f64,
+    updated_at: Instant,
 }
 
 pub struct Store {
     contents: Mutex<Contents>,
     changed: Condvar,
     limits: Limits,
+    budget: Mutex<Budget>,
 }
 
 impl Contents {
@@ -73,7 +82,9 @@
 impl Store {
     /// Starts the service on a free port of `ip`. Returns it with its address.
     pub fn start(ip: &str, limits: Limits) -> std::io::Result<(Arc<Self>, String)> {
-        let store = Arc::new(Self { contents: Mutex::default(), changed: Condvar::new(), limits });
+        let budget = Budget { writes: limits.write_rps.unwrap_or(0.0), updated_at: Instant::now() };
+        let store =
+            Arc::new(Self { contents: Mutex::default(), changed: Condvar::new(), limits, budget: Mutex::new(budget) });
         let ending = store.clone();
         thread::spawn(move || {
             loop {
@@ -139,6 +150,20 @@
         json(200, j!({"Pairs": pairs, "HasNext": found.next().is_some(), "Epoch": contents.epoch}))
     }
 
+    /// Takes so many puts and deletes from the limit on them. `false`: they are above it.
+    fn is_within_write_rate(&self, writes: usize) -> bool {
+        let Some(rate) = self.limits.write_rps else { return true };
+        let mut budget = self.budget.lock().unwrap();
+        let now = Instant::now();
+        budget.writes = (budget.writes + (now - budget.updated_at).as_secs_f64() * rate).min(rate);
+        budget.updated_at = now;
+        let is_within = budget.writes >= writes as f64;
+        if is_within {
+            budget.writes -= writes as f64;
+        }
+        is_within
+    }
+
     fn commit(&self, body: &[u8]) -> Reply {
         let Ok(transaction) = serde_json::from_slice::<Value>(body) else {
             return json(400, j!({"error": "not JSON"}));
@@ -156,6 +181,9 @@
         {
             return json(400, j!({"error": "too large"}));
         }
+        if !self.is_within_write_rate(apply.len()) {
+            return json(429, j!({"error": "too many changes"}));
+        }
         let mut contents = self.contents.lock().unwrap();
         let ended = |operation: &Value| {
             operation["Permit"].as_u64().is_some_and(|permit| !contents.grants.contains_key(&permit))
